--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Targets for development; see README.md.
+
+MODULES := ./core/... ./node/... ./standin/... ./cmd/...
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: run test race lint build soak fuzz measure
+
+run: ## Runs the demo deployment on loopback.
+	go run ./cmd/mangogate demo --for 10s
+
+build: ## Builds the two binaries and the stand-ins into bin/.
+	go build -o bin/ ./cmd/mangogate ./cmd/mangogatectl ./standin/cmd/standin
+
+test: ## Runs all tests.
+	go test $(MODULES)
+
+race: ## Runs all tests with the race detector.
+	go test -race $(MODULES)
+
+lint: ## Checks formatting, vet and staticcheck.
+	@files=$$(gofmt -l core node standin cmd); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	go vet $(MODULES)
+	go run $(STATICCHECK) $(MODULES)
--- /dev/null
+++ b/cmd/mangogate/main.go
@@ -0,0 +1,4 @@
+// Command mangogate is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/mangogatectl/main.go
@@ -0,0 +1,4 @@
+// Command mangogatectl is not built yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/core/connhealth/connhealth.go
@@ -0,0 +1,3 @@
+// Package connhealth decides what a timeout says about a connection and about
+// the peer behind it.
+package connhealth
--- /dev/null
+++ b/core/control/state.go
@@ -0,0 +1,255 @@
+package control
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/mangogate/mangogate/core/inventory"
+)
+
+// Reason says why a record is void.
+type Reason string
+
+// The reasons for a void record.
+const (
+	ReasonNone      Reason = ""
+	ReasonRepeated  Reason = "repeated"  // the writer's sequence number was seen
+	ReasonBase      Reason = "base"      // another change was accepted first
+	ReasonOldTerm   Reason = "old-term"  // a higher term is open
+	ReasonInvalid   Reason = "invalid"   // the content fails validation
+	ReasonMalformed Reason = "malformed" // the bytes are no record
+	ReasonNoChange  Reason = "no-change" // the content is already in force
+)
+
+// Verdict is the result of applying one record.
+type Verdict struct {
+	Offset   uint64
+	Accepted bool
+	Reason   Reason
+	Detail   string
+	Winner   uint64 // offset of the change that was accepted instead, for ReasonBase
+	By       string // author or writer of that change
+}
+
+// DrainKey identifies a drain.
+type DrainKey struct {
+	Scope DrainScope `json:"scope"`
+	Name  string     `json:"name"`
+}
+
+// Drain is the accepted state of a drain.
+type Drain struct {
+	Out     bool   `json:"out"`
+	Version uint64 `json:"version"`
+	Author  string `json:"author"`
+}
+
+// ShardKey identifies a shard.
+type ShardKey struct {
+	Service string
+	Shard   int
+}
+
+// State is the replayed control log. Invariant: two states that applied the
+// same records up to the same offset are equal.
+type State struct {
+	next            uint64 // offset of the next record to apply
+	document        inventory.Document
+	documentVersion uint64
+	documentAuthor  string
+	configVersion   uint64
+	drains          map[DrainKey]Drain
+	members         []Member
+	membersVersion  uint64
+	term            uint64
+	manager         string
+	assignments     map[ShardKey]ShardAssignment
+	assignVersion   uint64
+	writers         map[string]uint64
+}
+
+// NewState returns the state before the first record.
+func NewState() *State {
+	return &State{
+		drains:      map[DrainKey]Drain{},
+		assignments: map[ShardKey]ShardAssignment{},
+		writers:     map[string]uint64{},
+	}
+}
+
+// version turns an offset into a version: offsets start at 0, versions at 1,
+// so that 0 means that nothing was accepted yet.
+func version(offset uint64) uint64 { return offset + 1 }
+
+// ApplyBytes decodes and applies a record. A record that cannot be decoded is
+// void and does not stop the replay.
+func (s *State) ApplyBytes(offset uint64, data []byte) Verdict {
+	rec, err := DecodeRecord(data)
+	if err != nil {
+		s.next = offset + 1
+		return Verdict{Offset: offset, Reason: ReasonMalformed, Detail: err.Error()}
+	}
+	return s.Apply(offset, rec)
+}
+
+// Apply applies the record at an offset. Offsets must grow.
+func (s *State) Apply(offset uint64, rec Record) Verdict {
+	s.next = offset + 1
+	if last, seen := s.writers[rec.Writer]; seen && rec.Seq <= last {
+		return Verdict{Offset: offset, Reason: ReasonRepeated}
+	}
+	s.writers[rec.Writer] = rec.Seq
+	v := s.applyBody(offset, rec)
+	v.Offset = offset
+	return v
+}
+
+func (s *State) applyBody(offset uint64, rec Record) Verdict {
+	switch {
+	case rec.Document != nil:
+		return s.applyDocument(offset, rec.Document)
+	case rec.Drain != nil:
+		return s.applyDrain(offset, rec.Drain)
+	case rec.Members != nil:
+		return s.applyMembers(offset, rec.Members)
+	case rec.Term != nil:
+		return s.applyTerm(rec.Term)
+	case rec.Assign != nil:
+		return s.applyAssign(offset, rec.Assign)
+	}
+	return Verdict{Reason: ReasonMalformed, Detail: "no body"}
+}
+
+func (s *State) applyDocument(offset uint64, c *DocumentChange) Verdict {
+	if c.Base != s.documentVersion {
+		return Verdict{Reason: ReasonBase, Winner: s.documentVersion, By: s.documentAuthor}
+	}
+	if err := c.Document.Validate(); err != nil {
+		return Verdict{Reason: ReasonInvalid, Detail: err.Error()}
+	}
+	s.document = c.Document
+	s.documentVersion = version(offset)
+	s.documentAuthor = c.Author
+	s.configVersion = version(offset)
+	return Verdict{Accepted: true}
+}
+
+func (s *State) applyDrain(offset uint64, c *DrainChange) Verdict {
+	key := DrainKey{c.Scope, c.Name}
+	current := s.drains[key]
+	if c.Base != current.Version {
+		return Verdict{Reason: ReasonBase, Winner: current.Version, By: current.Author}
+	}
+	switch c.Scope {
+	case ScopeDataCentre, ScopeVM, ScopeTarget:
+	default:
+		return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("unknown scope %q", c.Scope)}
+	}
+	s.drains[key] = Drain{Out: c.Out, Version: version(offset), Author: c.Author}
+	s.configVersion = version(offset)
+	return Verdict{Accepted: true}
+}
+
+func (s *State) applyMembers(offset uint64, c *MembersChange) Verdict {
+	if c.Base != s.membersVersion {
+		return Verdict{Reason: ReasonBase, Winner: s.membersVersion}
+	}
+	if len(c.Members) == 0 {
+		return Verdict{Reason: ReasonInvalid, Detail: "no members"}
+	}
+	vms := map[string]bool{}
+	for i, m := range c.Members {
+		if m.Slot != i || m.VM == "" || vms[m.VM] {
+			return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("member %d is out of place", i)}
+		}
+		vms[m.VM] = true
+	}
+	s.members = append([]Member(nil), c.Members...)
+	s.membersVersion = version(offset)
+	return Verdict{Accepted: true}
+}
+
+func (s *State) applyTerm(c *TermOpened) Verdict {
+	if c.Term <= s.term {
+		return Verdict{Reason: ReasonOldTerm, Winner: s.term, By: s.manager}
+	}
+	s.term, s.manager = c.Term, c.Manager
+	return Verdict{Accepted: true}
+}
+
+func (s *State) applyAssign(offset uint64, c *AssignmentChange) Verdict {
+	if c.Term != s.term {
+		return Verdict{Reason: ReasonOldTerm, Winner: s.term, By: s.manager}
+	}
+	if c.Base != s.assignVersion {
+		return Verdict{Reason: ReasonBase, Winner: s.assignVersion, By: s.manager}
+	}
+	for _, a := range c.Shards {
+		if old, ok := s.assignments[ShardKey{a.Service, a.Shard}]; ok && a.Fence < old.Fence {
+			return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("fence of %s/%d falls from %d to %d", a.Service, a.Shard, old.Fence, a.Fence)}
+		}
+	}
+	for _, a := range c.Shards {
+		s.assignments[ShardKey{a.Service, a.Shard}] = a
+	}
+	s.assignVersion = version(offset)
+	return Verdict{Accepted: true}
+}
+
+// Next returns the offset of the next record to apply.
+func (s *State) Next() uint64 { return s.next }
+
+// Document returns the configuration document; its version is 0 before the first.
+func (s *State) Document() (doc inventory.Document, version uint64) {
+	return s.document, s.documentVersion
+}
+
+// ConfigVersion returns the version of the last accepted document or drain.
+func (s *State) ConfigVersion() uint64 { return s.configVersion }
+
+// Drain returns the state of a drain.
+func (s *State) Drain(scope DrainScope, name string) Drain { return s.drains[DrainKey{scope, name}] }
+
+// Members returns the members in slot order and their version.
+func (s *State) Members() ([]Member, uint64) { return s.members, s.membersVersion }
+
+// Term returns the highest opened term and its manager.
+func (s *State) Term() (term uint64, manager string) { return s.term, s.manager }
+
+// Assignment returns the assignment of a shard.
+func (s *State) Assignment(key ShardKey) (ShardAssignment, bool) {
+	a, ok := s.assignments[key]
+	return a, ok
+}
+
+// Assignments returns all assignments, ordered by service and shard, and their version.
+func (s *State) Assignments() ([]ShardAssignment, uint64) {
+	out := make([]ShardAssignment, 0, len(s.assignments))
+	for _, a := range s.assignments {
+		out = append(out, a)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Service != out[j].Service {
+			return out[i].Service < out[j].Service
+		}
+		return out[i].Shard < out[j].Shard
+	})
+	return out, s.assignVersion
+}
+
+// WriterSeq returns the highest sequence number seen from a writer. A writer
+// that does not know whether its append took effect reads until this reaches
+// the number of that append.
+func (s *State) WriterSeq(writer string) uint64 { return s.writers[writer] }
+
+// TargetOut tells whether a target gets no new work, because it or its data
+// centre is out of service.
+func (s *State) TargetOut(t inventory.Target) bool {
+	return s.Drain(ScopeTarget, t.Name).Out || s.Drain(ScopeDataCentre, t.DataCentre).Out
+}
+
+// VMOut tells whether a VM gets no new work, because it or its data centre is
+// out of service.
+func (s *State) VMOut(vm, dataCentre string) bool {
+	return s.Drain(ScopeVM, vm).Out || s.Drain(ScopeDataCentre, dataCentre).Out
+}
--- /dev/null
+++ b/core/jsonc/jsonc.go
@@ -0,0 +1,225 @@
+// Package jsonc decodes JSON with comments into Go structs and reports every
+// problem with its file, line and field.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+)
+
+// Problem is one fault in a document.
+type Problem struct {
+	File    string
+	Line    int    // from 1; 0 when the field is absent
+	Field   string // such as targets[3].slots
+	Message string
+}
+
+// Error returns "file:line: field: message".
+func (p Problem) Error() string {
+	where := p.File
+	if p.Line > 0 {
+		where = fmt.Sprintf("%s:%d", p.File, p.Line)
+	}
+	if p.Field == "" {
+		return where + ": " + p.Message
+	}
+	return where + ": " + p.Field + ": " + p.Message
+}
+
+// Problems is a list of faults; it is an error when it is not empty.
+type Problems []Problem
+
+// Error returns one problem a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ErrorOrNil returns nil for an empty list, so that it can be returned as an error.
+func (ps Problems) ErrorOrNil() error {
+	if len(ps) == 0 {
+		return nil
+	}
+	return ps
+}
+
+// Source is a parsed document that can locate its fields.
+type Source struct {
+	file string
+	text []byte
+	root hujson.Value
+}
+
+// Decode parses text, checks it against the type that into points to, and
+// fills into. Unknown fields, wrong types and syntax errors are Problems.
+func Decode(file string, text []byte, into any) (*Source, error) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, Problems{{File: file, Message: err.Error()}}
+	}
+	src := &Source{file: file, text: text, root: root}
+	c := checker{src: src}
+	c.check(root, reflect.TypeOf(into).Elem(), "")
+	if len(c.problems) > 0 {
+		return src, c.problems
+	}
+	standard := root.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), into); err != nil {
+		return src, errors.Wrapf(err, "decode %s", file)
+	}
+	return src, nil
+}
+
+// Problem returns a problem at a field, given as a path such as targets[3].slots.
+func (s *Source) Problem(field, format string, args ...any) Problem {
+	p := Problem{Field: field, Message: fmt.Sprintf(format, args...)}
+	if s == nil {
+		return p
+	}
+	p.File = s.file
+	if v := s.root.Find(pointer(field)); v != nil {
+		p.Line = s.line(v.StartOffset)
+	}
+	return p
+}
+
+func (s *Source) line(offset int) int {
+	return 1 + bytes.Count(s.text[:min(offset, len(s.text))], []byte("\n"))
+}
+
+// pointer turns targets[3].slots into /targets/3/slots.
+func pointer(field string) string {
+	if field == "" {
+		return ""
+	}
+	return "/" + strings.NewReplacer("[", "/", "]", "", ".", "/").Replace(field)
+}
+
+type checker struct {
+	src      *Source
+	problems Problems
+}
+
+func (c *checker) fail(offset int, field, format string, args ...any) {
+	c.problems = append(c.problems, Problem{
+		File: c.src.file, Line: c.src.line(offset), Field: field, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+var unmarshaler = reflect.TypeFor[json.Unmarshaler]()
+
+func (c *checker) check(v hujson.Value, t reflect.Type, field string) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	object, isObject := v.Value.(*hujson.Object)
+	array, isArray := v.Value.(*hujson.Array)
+	switch {
+	case reflect.PointerTo(t).Implements(unmarshaler):
+		c.checkLeaf(v, t, field)
+	case t.Kind() == reflect.Struct && isObject:
+		c.checkStruct(object, t, field)
+	case t.Kind() == reflect.Map && isObject:
+		for _, m := range object.Members {
+			c.check(m.Value, t.Elem(), join(field, memberName(m)))
+		}
+	case t.Kind() == reflect.Slice && isArray:
+		for i, e := range array.Elements {
+			c.check(e, t.Elem(), fmt.Sprintf("%s[%d]", field, i))
+		}
+	default:
+		c.checkLeaf(v, t, field)
+	}
+}
+
+func (c *checker) checkStruct(object *hujson.Object, t reflect.Type, field string) {
+	known := fieldsByName(t)
+	seen := map[string]bool{}
+	for _, m := range object.Members {
+		name := memberName(m)
+		ft, ok := known[name]
+		switch {
+		case !ok:
+			c.fail(m.Name.StartOffset, join(field, name), "unknown field")
+		case seen[name]:
+			c.fail(m.Name.StartOffset, join(field, name), "field is given twice")
+		default:
+			c.check(m.Value, ft, join(field, name))
+		}
+		seen[name] = true
+	}
+}
+
+func (c *checker) checkLeaf(v hujson.Value, t reflect.Type, field string) {
+	clone := v.Clone()
+	clone.Standardize()
+	if err := json.Unmarshal(bytes.TrimSpace(clone.Pack()), reflect.New(t).Interface()); err != nil {
+		var typeErr *json.UnmarshalTypeError
+		if errors.As(err, &typeErr) {
+			c.fail(v.StartOffset, field, "must be of type %s, not %s", t, typeErr.Value)
+			return
+		}
+		c.fail(v.StartOffset, field, "%v", err)
+	}
+}
+
+func fieldsByName(t reflect.Type) map[string]reflect.Type {
+	known := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			known[name] = f.Type
+		}
+	}
+	return known
+}
+
+func memberName(m hujson.ObjectMember) string {
+	lit, _ := m.Name.Value.(hujson.Literal)
+	return lit.String()
+}
+
+func join(field, name string) string {
+	if field == "" {
+		return name
+	}
+	return field + "." + name
+}
+
+// Duration is a time.Duration written as a string with a unit, such as "250ms".
+type Duration time.Duration
+
+// UnmarshalJSON refuses numbers without a unit.
+func (d *Duration) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
+		return errors.Errorf("duration must be a string with a unit, such as \"250ms\", not %s", data)
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return errors.Errorf("duration %q needs a unit: ns, us, ms, s, m or h", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalJSON writes the duration with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// Std returns the duration as the standard library's type.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,3 @@
+// Package quarantine keeps requests that crash targets from running on one
+// target after another.
+package quarantine
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is not built yet.
+package main
+
+func main() {}
