Refuse support to a candidate that has replayed fewer assignments

Cause: with the log down, a new manager that missed the last assignment would not count its owner as a possible holder and could grant the shard twice.

Ruled out: handing assignments between VMs; support already asks every member, so comparing a version there costs no extra message.

Change: VersionSeen event, Message.Version, and the check in wouldSupport. Map groups gain Active, so that a change of the dispatcher reaches a majority before it takes effect.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -43,6 +43,12 @@
 // TermSeen reports a term opened in the control log.
 type TermSeen struct{ Term uint64 }
 
+// VersionSeen reports the version of the assignments that this node has
+// replayed. A node supports no new term of a candidate that has replayed less:
+// with the log down, a manager that missed a granted assignment could not know
+// its holder.
+type VersionSeen struct{ Version uint64 }
+
 // Received delivers a message from another member.
 type Received struct {
 	From    string
@@ -60,6 +66,7 @@
 func (Tick) event()           {}
 func (MembersChanged) event() {}
 func (TermSeen) event()       {}
+func (VersionSeen) event()    {}
 func (Received) event()       {}
 func (ClockJumped) event()    {}
 func (Resign) event()         {}
@@ -90,6 +97,9 @@
 	// it. SentAt alone does not tell a reply to an earlier process of the same
 	// VM apart, because its clock may have started elsewhere.
 	Incarnation uint64
+	// Version is set in requests: the version of the assignments that the
+	// sender has replayed.
+	Version uint64
 }
 
 // Action is an output of Node.Step.
--- a/core/authority/campaign.go
+++ b/core/authority/campaign.go
@@ -84,7 +84,7 @@
 	n.role, n.term, n.probedAt = probing, n.nextTerm(), now
 	n.answered = make([]bool, len(n.members))
 	n.willing = 1 // the node itself, checked again in campaign
-	n.broadcast(Message{Kind: KindProbe, Term: n.term, SentAt: now, Incarnation: n.incarnation})
+	n.broadcast(Message{Kind: KindProbe, Term: n.term, SentAt: now, Incarnation: n.incarnation, Version: n.version})
 	n.campaign(now)
 }
 
@@ -103,7 +103,7 @@
 // campaign takes the probed term if more than half of the members, the node
 // itself included, would support it.
 func (n *Node) campaign(now time.Duration) {
-	own := Message{Kind: KindProbe, Term: n.term, Incarnation: n.incarnation}
+	own := Message{Kind: KindProbe, Term: n.term, Incarnation: n.incarnation, Version: n.version}
 	if 2*n.willing <= len(n.members) || !n.wouldSupport(now, n.cfg.Self, own) {
 		return
 	}
@@ -121,7 +121,7 @@
 
 // beat sends a round of heartbeats and renews the node's own support.
 func (n *Node) beat(now time.Duration) {
-	m := Message{Kind: KindHeartbeat, Term: n.term, SentAt: now, Incarnation: n.incarnation}
+	m := Message{Kind: KindHeartbeat, Term: n.term, SentAt: now, Incarnation: n.incarnation, Version: n.version}
 	n.support(now, n.cfg.Self, m)
 	drop := 0
 	for drop < len(n.rounds) && now >= n.rounds[drop].sentAt+n.span {
--- a/core/authority/node.go
+++ b/core/authority/node.go
@@ -51,6 +51,7 @@
 	slots   map[string]int
 	self    int // own slot, -1 for none
 
+	version    uint64 // of the replayed assignments
 	highest    uint64 // highest term that is known to be promised or opened
 	closed     uint64 // terms up to this one get no new support
 	promise    promise
@@ -96,6 +97,8 @@
 		n.setMembers(now, ev.Members)
 	case TermSeen:
 		n.termSeen(now, ev.Term)
+	case VersionSeen:
+		n.version = max(n.version, ev.Version)
 	case Received:
 		n.receive(now, ev.From, ev.Message)
 	case ClockJumped:
--- a/core/authority/support.go
+++ b/core/authority/support.go
@@ -14,7 +14,7 @@
 	if m.Kind == KindHeartbeat && m.Term == p.term && from == p.to && m.Incarnation == p.incarnation {
 		return !p.closed
 	}
-	if now < p.until || m.Term <= n.closed {
+	if now < p.until || m.Term <= n.closed || m.Version < n.version {
 		return false
 	}
 	if m.Kind == KindProbe {
--- a/core/shardmap/shardmap.go
+++ b/core/shardmap/shardmap.go
@@ -3,6 +3,7 @@
 
 import (
 	"math/bits"
+	"strings"
 
 	"github.com/mangogate/mangogate/core/inventory"
 )
@@ -53,16 +54,26 @@
 	Fence uint64
 }
 
-// Group is the dispatch state of one group.
+// Group is the dispatch state of one group. A group named after a service also
+// keeps that service's write intents; a group of one target only dispatches.
 type Group struct {
-	Dispatcher string   // VM that sends the group's requests
-	Epoch      uint64   // grows with each change of the dispatcher
-	Copies     []string // VMs that hold write intents besides the dispatcher
-	// UnknownUntilMS is the manager's wall clock time, in milliseconds, until
-	// which a write with a key may have run before without a surviving record.
+	// Dispatcher is the VM that sends the group's requests, once Active is set.
+	Dispatcher string
+	Active     bool
+	// Epoch grows with each change of the dispatcher or the copies.
+	Epoch  uint64
+	Copies []string // VMs that hold the write intents besides the dispatcher
+	// UnknownUntilMS is the wall clock time, in milliseconds, until which a
+	// write with a key may have run before without a surviving record.
 	UnknownUntilMS int64
 }
 
+// LedgerGroup returns the group that keeps the write intents of a service.
+func LedgerGroup(service string) string { return service }
+
+// IsLedger tells whether a group keeps write intents.
+func IsLedger(group string) bool { return !strings.Contains(group, "/") }
+
 // Map is what a VM needs to route. Version orders maps: a higher term wins,
 // then a higher sequence.
 type Map struct {
