Add the services around the decisions: peers, targets, ledger, dispatch, manager

Cause: the whole path needs processes that talk to each other, to targets and to callers.

Ruled out: one write-intent table per target group; a shard that moves to another target would leave its intents behind. The ledger belongs to the service instead.

Change: node packages clock, settings, timeline, peer, mapstore, targets, ledger, dispatch, resolver, callers and manager. They are not wired up yet.

--- /dev/null
+++ b/node/callers/answer.go
@@ -0,0 +1,79 @@
+package callers
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/mangogate/mangogate/node/dispatch"
+)
+
+// refusalBody is the JSON body of a refusal or an unknown outcome.
+type refusalBody struct {
+	Outcome string          `json:"outcome"`
+	Reason  dispatch.Reason `json:"reason"`
+	Message string          `json:"message"`
+}
+
+func outcomeName(o dispatch.Outcome) string {
+	switch o {
+	case dispatch.OutcomeRun:
+		return "run"
+	case dispatch.OutcomeNotRun:
+		return "not-run"
+	}
+	return "unknown"
+}
+
+// statusOf returns the HTTP status of a refusal or an unknown outcome.
+func statusOf(r *dispatch.Result) int {
+	switch r.Reason {
+	case dispatch.ReasonDeadline, dispatch.ReasonDeadlineRunning:
+		return http.StatusGatewayTimeout
+	case dispatch.ReasonOutcomeUnknown, dispatch.ReasonAnswerNotKept:
+		return http.StatusBadGateway
+	case dispatch.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
+	case dispatch.ReasonTooMany:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeResult(w http.ResponseWriter, r *dispatch.Result) {
+	if r.Outcome != dispatch.OutcomeRun {
+		writeRefusal(w, statusOf(r), r)
+		return
+	}
+	h := w.Header()
+	for name, values := range r.Header {
+		if !strings.HasPrefix(http.CanonicalHeaderKey(name), ownHeaderPrefix) {
+			h[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	h.Set(HeaderOutcome, outcomeName(r.Outcome))
+	if h.Get("Content-Length") == "" && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(r.Body) // a caller that has gone needs no answer
+}
+
+func writeRefusal(w http.ResponseWriter, status int, r *dispatch.Result) {
+	outcome := outcomeName(r.Outcome)
+	body, err := json.Marshal(refusalBody{Outcome: outcome, Reason: r.Reason, Message: r.Message})
+	if err != nil { // the message holds bytes that are no text
+		body = []byte(`{"outcome":"` + outcome + `","reason":"` + string(r.Reason) + `","message":""}`)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, outcome)
+	h.Set(HeaderReason, string(r.Reason))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/node/callers/callers.go
@@ -0,0 +1,145 @@
+// Package callers serves HTTP to callers: it matches rules, applies limits and
+// turns results into answers.
+package callers
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/control"
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/node/dispatch"
+	"github.com/mangogate/mangogate/node/kernel"
+	"github.com/mangogate/mangogate/node/replica"
+	"github.com/mangogate/mangogate/node/resolver"
+	"github.com/mangogate/mangogate/node/settings"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Name is the module name of Listener.
+const Name = "entry.callers"
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Listener is the module.
+type Listener struct {
+	vm       string
+	boot     string
+	cfg      settings.Callers
+	tls      *tls.Config
+	logger   hclog.Logger
+	resolver *resolver.Resolver
+	replica  *replica.Replica
+
+	slots   chan struct{} // one for each request in progress
+	nextID  atomic.Uint64
+	server  *http.Server
+	addr    net.Addr
+	answers map[dispatch.Outcome]metrics.Counter
+	refused metrics.Counter
+	latency metrics.Timer
+}
+
+// New returns the module for a VM.
+func New(vm, boot string, cfg settings.Callers, tlsConfig *tls.Config, logger hclog.Logger, registry metrics.Registry) *Listener {
+	return &Listener{
+		vm: vm, boot: boot, cfg: cfg, tls: tlsConfig, logger: logger, slots: make(chan struct{}, cfg.MaxConcurrent),
+		answers: map[dispatch.Outcome]metrics.Counter{
+			dispatch.OutcomeRun:     metrics.GetOrRegisterCounter("callers.run", registry),
+			dispatch.OutcomeNotRun:  metrics.GetOrRegisterCounter("callers.not_run", registry),
+			dispatch.OutcomeUnknown: metrics.GetOrRegisterCounter("callers.unknown", registry),
+		},
+		refused: metrics.GetOrRegisterCounter("callers.refused_at_entry", registry),
+		latency: metrics.GetOrRegisterTimer("callers.latency", registry),
+	}
+}
+
+// Name implements kernel.Module.
+func (l *Listener) Name() string { return Name }
+
+// Provision looks up the other modules.
+func (l *Listener) Provision(k *kernel.Kernel) (err error) {
+	if l.resolver, err = kernel.Lookup[*resolver.Resolver](k, resolver.Name); err != nil {
+		return err
+	}
+	l.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name)
+	return err
+}
+
+// Start listens and serves.
+func (l *Listener) Start(context.Context) error {
+	listener, err := net.Listen("tcp", l.cfg.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	l.addr = listener.Addr()
+	if l.tls != nil {
+		listener = tls.NewListener(listener, l.tls)
+	}
+	l.server = &http.Server{
+		Handler: l, MaxHeaderBytes: l.cfg.MaxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: l.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	go func() {
+		if err := l.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			l.logger.Error("caller listener ended", "error", err)
+		}
+	}()
+	return nil
+}
+
+// Addr returns the address that callers reach.
+func (l *Listener) Addr() net.Addr { return l.addr }
+
+// Stop finishes the requests in progress; ctx bounds the wait.
+func (l *Listener) Stop(ctx context.Context) error {
+	return errors.Wrap(l.server.Shutdown(ctx), "finish requests of callers")
+}
+
+// ServeHTTP answers one caller.
+func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	select {
+	case l.slots <- struct{}{}:
+		defer func() { <-l.slots }()
+	default:
+		l.refuse(w, &refusal{http.StatusTooManyRequests, dispatch.ReasonTooMany,
+			fmt.Sprintf("This VM serves its limit of %d requests at once.", l.cfg.MaxConcurrent)})
+		return
+	}
+	service, req, refused := l.prepare(w, r)
+	if refused != nil {
+		l.refuse(w, refused)
+		return
+	}
+	result := l.resolver.Resolve(r.Context(), service, req)
+	l.answers[result.Outcome].Inc(1)
+	l.latency.UpdateSince(start)
+	writeResult(w, result)
+}
+
+func (l *Listener) refuse(w http.ResponseWriter, r *refusal) {
+	l.refused.Inc(1)
+	writeRefusal(w, r.status, dispatch.NotRun(r.reason, r.message))
+}
+
+// match returns the rule and service of a path, and false when there is none.
+func (l *Listener) match(path string) (rule inventory.Rule, service inventory.Service, ok bool) {
+	l.replica.View(func(st *control.State) {
+		doc, _ := st.Document()
+		if rule, ok = doc.Match(path); ok {
+			service, ok = doc.Service(rule.Service)
+		}
+	})
+	return rule, service, ok
+}
--- /dev/null
+++ b/node/dispatch/dispatch.go
@@ -0,0 +1,265 @@
+// Package dispatch sends the requests of the groups that this VM dispatches to
+// their targets.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/admission"
+	"github.com/mangogate/mangogate/core/control"
+	"github.com/mangogate/mangogate/core/quarantine"
+	"github.com/mangogate/mangogate/core/retry"
+	"github.com/mangogate/mangogate/core/shardmap"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/kernel"
+	"github.com/mangogate/mangogate/node/ledger"
+	"github.com/mangogate/mangogate/node/mapstore"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/replica"
+	"github.com/mangogate/mangogate/node/targets"
+	"github.com/mangogate/mangogate/node/timeline"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Name is the module name of Service.
+const Name = "dispatch.groups"
+
+const (
+	tickInterval = 10 * time.Millisecond // expiry of queued requests
+	loadInterval = 500 * time.Millisecond
+	loadTimeout  = 400 * time.Millisecond
+)
+
+// Service is the module.
+type Service struct {
+	vm      string
+	clock   *clock.Clock
+	events  *timeline.Recorder
+	logger  hclog.Logger
+	maps    *mapstore.Store
+	ledger  *ledger.Ledger
+	targets *targets.Client
+	replica *replica.Replica
+
+	counters counters
+
+	mu         sync.Mutex
+	groups     map[string]*group
+	cancels    map[string]context.CancelFunc // by request id
+	quarantine *quarantine.Quarantine
+	budget     *retry.Budget
+	unhealthy  map[string]bool // targets that refuse connections
+	draining   map[string]bool // targets that say so
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+type counters struct {
+	sent, retried, notRun, unknown, moved, gated metrics.Counter
+	serviceTime, queueTime                       metrics.Timer
+}
+
+// New returns the module for a VM.
+func New(vm string, c *clock.Clock, events *timeline.Recorder, logger hclog.Logger, registry metrics.Registry) *Service {
+	ctx, cancel := context.WithCancel(context.Background())
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("dispatch."+name, registry)
+	}
+	return &Service{
+		vm: vm, clock: c, events: events, logger: logger, ctx: ctx, cancel: cancel,
+		groups: map[string]*group{}, cancels: map[string]context.CancelFunc{},
+		quarantine: quarantine.New(quarantine.DefaultConfig()),
+		budget:     retry.NewBudget(retry.DefaultBudget()),
+		unhealthy:  map[string]bool{}, draining: map[string]bool{},
+		counters: counters{
+			sent: counter("sent"), retried: counter("retried"), notRun: counter("not_run"),
+			unknown: counter("unknown"), moved: counter("moved"), gated: counter("gated"),
+			serviceTime: metrics.GetOrRegisterTimer("dispatch.service_time", registry),
+			queueTime:   metrics.GetOrRegisterTimer("dispatch.queue_time", registry),
+		},
+	}
+}
+
+// Name implements kernel.Module.
+func (s *Service) Name() string { return Name }
+
+// Provision looks up the other modules and registers the calls between VMs.
+func (s *Service) Provision(k *kernel.Kernel) error {
+	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	if err != nil {
+		return err
+	}
+	if s.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
+		return err
+	}
+	if s.ledger, err = kernel.Lookup[*ledger.Ledger](k, ledger.Name); err != nil {
+		return err
+	}
+	if s.targets, err = kernel.Lookup[*targets.Client](k, targets.Name); err != nil {
+		return err
+	}
+	if s.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name); err != nil {
+		return err
+	}
+	s.maps.Attach(s)
+	return server.Register("Dispatch", &receiver{s})
+}
+
+// Start runs the timers.
+func (s *Service) Start(context.Context) error {
+	s.wg.Add(2)
+	go s.every(tickInterval, s.tick)
+	go s.every(loadInterval, s.observeAll)
+	return nil
+}
+
+// Stop ends the timers.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Service) every(interval time.Duration, do func()) {
+	defer s.wg.Done()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+func (s *Service) tick() {
+	for _, g := range s.allGroups() {
+		g.tick()
+	}
+}
+
+func (s *Service) allGroups() []*group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*group, 0, len(s.groups))
+	for _, g := range s.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// MapInstalled implements mapstore.Listener.
+func (s *Service) MapInstalled(m *shardmap.Map) {
+	for name, entry := range m.Groups {
+		if entry.Active && entry.Dispatcher == s.vm {
+			s.takeUp(name)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, g := range s.groups {
+		if entry, ok := m.Groups[name]; ok && entry.Dispatcher == s.vm {
+			continue
+		}
+		g.mu.Lock()
+		idle := len(g.running) == 0 && len(g.waiting) == 0
+		g.mu.Unlock()
+		if idle {
+			delete(s.groups, name)
+		}
+	}
+}
+
+// takeUp begins to dispatch a group. Its targets start cold.
+func (s *Service) takeUp(name string) {
+	s.mu.Lock()
+	_, have := s.groups[name]
+	s.mu.Unlock()
+	if have {
+		return
+	}
+	service, members := s.targetsOf(name)
+	if service.Name == "" || len(members) == 0 {
+		return // a keyed service's ledger group has no targets of its own
+	}
+	g := newGroup(name, service, s.clock)
+	for _, t := range members {
+		g.seen(admission.TargetSeen{Target: t.Name, Slots: t.Slots, Available: s.available(t), Granted: true})
+	}
+	s.mu.Lock()
+	s.groups[name] = g
+	s.mu.Unlock()
+	s.events.Record(timeline.Event{Kind: "group.dispatched", Group: name, Service: service.Name})
+}
+
+// AddReport implements mapstore.Reporter.
+func (s *Service) AddReport(r *mapstore.Report) {
+	s.replica.View(func(st *control.State) {
+		r.ConfigVersion, r.AssignVersion = st.ConfigVersion(), st.AssignVersion()
+	})
+	m := s.maps.Current()
+	for _, g := range s.allGroups() {
+		busy, shards := g.busy(m)
+		r.Groups = append(r.Groups, mapstore.GroupReport{Group: g.name, Busy: busy})
+		r.BusyShards = append(r.BusyShards, shards...)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.draining {
+		r.Draining = append(r.Draining, t)
+	}
+	r.Refusals = append(r.Refusals, s.refusals()...)
+}
+
+// busy tells whether requests are in flight, and for which shards they were
+// sent under a route that is no longer in force.
+func (g *group) busy(m *shardmap.Map) (bool, []mapstore.ShardReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var shards []mapstore.ShardReport
+	for _, r := range g.running {
+		if r.shard < 0 || m == nil {
+			continue
+		}
+		routes := m.Shards[g.service]
+		if r.shard >= len(routes) || routes[r.shard].Owner != r.target || routes[r.shard].Fence != r.fence {
+			shards = append(shards, mapstore.ShardReport{Service: g.service, Shard: r.shard})
+		}
+	}
+	return len(g.running) > 0, shards
+}
+
+// Cancel withdraws a request.
+func (s *Service) Cancel(id string) {
+	s.mu.Lock()
+	cancel := s.cancels[id]
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+type receiver struct{ s *Service }
+
+// Submit runs a request of another entry.
+func (r *receiver) Submit(req *Request, result *Result) error {
+	r.s.events.Observe(req.Stamp)
+	*result = *r.s.Submit(r.s.ctx, req)
+	return nil
+}
+
+// Cancel withdraws a request whose caller has gone.
+func (r *receiver) Cancel(args *CancelArgs, _ *Nothing) error {
+	r.s.Cancel(args.ID)
+	return nil
+}
+
+func ledgerKey(req *Request) string { return fmt.Sprintf("%s %s", req.Service, req.IdempotencyKey) }
--- /dev/null
+++ b/node/ledger/ledger.go
@@ -0,0 +1,359 @@
+// Package ledger keeps the write intents and outcomes of each service, so that
+// a write with an Idempotency-Key runs at most once. The dispatcher of a
+// service's group keeps the book; two VMs in other data centres hold copies.
+package ledger
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/dedupe"
+	"github.com/mangogate/mangogate/core/shardmap"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/kernel"
+	"github.com/mangogate/mangogate/node/mapstore"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/timeline"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+)
+
+// Name is the module name of Ledger.
+const Name = "dispatch.ledger"
+
+const (
+	tickInterval = 250 * time.Millisecond
+	// copyTimeout bounds one call to a copy holder; the copies may change meanwhile.
+	copyTimeout = 300 * time.Millisecond
+	copyRetry   = 20 * time.Millisecond
+	// attemptGrace is how long after its deadline an attempt may still finish.
+	attemptGrace = time.Second
+	importChunk  = 2000 // entries a call
+	importRetry  = 100 * time.Millisecond
+)
+
+// Ledger is the module.
+type Ledger struct {
+	vm     string
+	clock  *clock.Clock
+	events *timeline.Recorder
+	logger hclog.Logger
+	maps   *mapstore.Store
+	peers  *peer.Client
+
+	intents  metrics.Counter
+	replays  metrics.Counter
+	unknowns metrics.Counter
+	copyTime metrics.Timer
+
+	mu     sync.Mutex
+	books  map[string]*book
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New returns the module for a VM.
+func New(vm string, c *clock.Clock, events *timeline.Recorder, logger hclog.Logger, registry metrics.Registry) *Ledger {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Ledger{
+		vm: vm, clock: c, events: events, logger: logger, books: map[string]*book{}, ctx: ctx, cancel: cancel,
+		intents:  metrics.GetOrRegisterCounter("ledger.intents", registry),
+		replays:  metrics.GetOrRegisterCounter("ledger.replays", registry),
+		unknowns: metrics.GetOrRegisterCounter("ledger.unknowns", registry),
+		copyTime: metrics.GetOrRegisterTimer("ledger.copy", registry),
+	}
+}
+
+// Name implements kernel.Module.
+func (l *Ledger) Name() string { return Name }
+
+// Provision registers the calls between VMs.
+func (l *Ledger) Provision(k *kernel.Kernel) error {
+	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	if err != nil {
+		return err
+	}
+	if l.peers, err = kernel.Lookup[*peer.Client](k, peer.ClientName); err != nil {
+		return err
+	}
+	if l.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
+		return err
+	}
+	l.maps.Attach(l)
+	return server.Register("Ledger", &receiver{l})
+}
+
+// Start runs the timers.
+func (l *Ledger) Start(context.Context) error {
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		for {
+			select {
+			case <-l.ctx.Done():
+				return
+			case <-time.After(tickInterval):
+				for _, b := range l.all() {
+					b.tick(l.clock.Now())
+				}
+			}
+		}
+	}()
+	return nil
+}
+
+// Stop ends the timers and the copying.
+func (l *Ledger) Stop(context.Context) error {
+	l.cancel()
+	l.wg.Wait()
+	return nil
+}
+
+func (l *Ledger) all() []*book {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*book, 0, len(l.books))
+	for _, b := range l.books {
+		out = append(out, b)
+	}
+	return out
+}
+
+// lookup returns the book of a group, a new one when there is none.
+func (l *Ledger) lookup(group string) *book {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.books[group]
+	if b == nil {
+		b = newBook(group)
+		l.books[group] = b
+	}
+	return b
+}
+
+// MapInstalled implements mapstore.Listener.
+func (l *Ledger) MapInstalled(m *shardmap.Map) {
+	for name, g := range m.Groups {
+		if !shardmap.IsLedger(name) {
+			continue
+		}
+		b := l.lookup(name)
+		if syncCopies, previous := b.follow(g, l.vm, l.clock.Now()); syncCopies {
+			l.events.Record(timeline.Event{Kind: "ledger.kept", Group: name, Term: m.Term,
+				Detail: "copies " + strings.Join(g.Copies, " ")})
+			l.syncCopies(b, g, previous)
+		}
+	}
+}
+
+// AddReport implements mapstore.Reporter.
+func (l *Ledger) AddReport(r *mapstore.Report) {
+	for _, b := range l.all() {
+		r.Groups = append(r.Groups, b.report())
+	}
+}
+
+// Begin asks the keeper of a group for leave to send a write, here or at the
+// VM that keeps it.
+func (l *Ledger) Begin(ctx context.Context, args BeginArgs) BeginReply {
+	keeper, address, ok := l.keeperOf(args.Group)
+	if !ok {
+		return BeginReply{Decision: Moved}
+	}
+	if keeper == l.vm {
+		return l.begin(ctx, args)
+	}
+	var reply BeginReply
+	if err := l.peers.Call(ctx, address, "Ledger.Begin", &args, &reply); err != nil {
+		// The keeper may have recorded the intent; nothing was sent, so the
+		// attempt is over and provably did not run.
+		l.Finish(FinishArgs{Group: args.Group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun})
+		return BeginReply{Decision: Moved}
+	}
+	return reply
+}
+
+func (l *Ledger) keeperOf(group string) (vm, address string, ok bool) {
+	m := l.maps.Current()
+	if m == nil {
+		return "", "", false
+	}
+	g, ok := m.Groups[group]
+	if !ok || !g.Active {
+		return "", "", false
+	}
+	return g.Dispatcher, m.Peers[g.Dispatcher], true
+}
+
+// begin runs on the keeper.
+func (l *Ledger) begin(ctx context.Context, args BeginArgs) BeginReply {
+	ctx, cancel := context.WithTimeout(ctx, args.Remaining)
+	defer cancel()
+	b := l.lookup(args.Group)
+	for {
+		if !l.maps.Permitted() {
+			return BeginReply{Decision: Moved}
+		}
+		reply, wait := l.tryBegin(b, args)
+		if wait == nil {
+			if reply.Decision == Run {
+				return l.record(ctx, b, args)
+			}
+			return reply
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			l.unknowns.Inc(1)
+			return BeginReply{Decision: Unknown}
+		}
+	}
+}
+
+// tryBegin returns a channel to wait on when the same write is in flight.
+func (l *Ledger) tryBegin(b *book, args BeginArgs) (BeginReply, <-chan struct{}) {
+	now := l.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.keeper {
+		return BeginReply{Decision: Moved}, nil
+	}
+	decision, answer := b.table.Begin(now, args.Key, args.Fingerprint, b.epoch)
+	switch decision {
+	case dedupe.Run:
+		b.attempts[args.Key] = attempt{id: args.Attempt, expires: now + args.Remaining + attemptGrace}
+		return BeginReply{Decision: Run}, nil
+	case dedupe.Wait:
+		return BeginReply{}, b.settled
+	case dedupe.Replay:
+		l.replays.Inc(1)
+		return BeginReply{Decision: Replay, Answer: answer}, nil
+	case dedupe.Mismatch:
+		return BeginReply{Decision: Mismatch}, nil
+	case dedupe.Full:
+		return BeginReply{Decision: Full}, nil
+	case dedupe.OldEpoch:
+		return BeginReply{Decision: Moved}, nil
+	}
+	l.unknowns.Inc(1)
+	return BeginReply{Decision: Unknown}, nil
+}
+
+// record copies the intent to all copies before the write may be sent.
+func (l *Ledger) record(ctx context.Context, b *book, args BeginArgs) BeginReply {
+	l.intents.Inc(1)
+	start := time.Now()
+	defer l.copyTime.UpdateSince(start)
+	for {
+		copies, epoch, keeper := b.currentCopies()
+		if !keeper {
+			break
+		}
+		entry := dedupe.Entry{Key: args.Key, Fingerprint: args.Fingerprint, Epoch: epoch, Phase: dedupe.PhaseIntent}
+		if l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}}) {
+			if after, e, k := b.currentCopies(); k && e == epoch && slices.Equal(after, copies) {
+				return BeginReply{Decision: Run}
+			}
+			continue // the copies changed: the new ones have to know too
+		}
+		select {
+		case <-time.After(copyRetry):
+		case <-ctx.Done():
+			l.finish(FinishArgs{Group: b.group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun})
+			return BeginReply{Decision: NotRecorded}
+		}
+	}
+	l.finish(FinishArgs{Group: b.group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun})
+	return BeginReply{Decision: Moved}
+}
+
+// copyToAll returns true when every copy has stored the entries.
+func (l *Ledger) copyToAll(ctx context.Context, copies []string, args CopyArgs) bool {
+	m := l.maps.Current()
+	if m == nil {
+		return false
+	}
+	args.Stamp = l.events.Now()
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, vm := range copies {
+		address := m.Peers[vm]
+		group.Go(func() error {
+			var reply CopyReply
+			if err := l.peers.Call(ctx, address, "Ledger.Copy", &args, &reply); err != nil {
+				return err
+			}
+			if reply.OldEpoch || reply.Full {
+				return errNotCopied
+			}
+			return nil
+		})
+	}
+	return group.Wait() == nil
+}
+
+// Finish ends an attempt, here or at the VM that keeps the group. Towards
+// another VM it does not wait.
+func (l *Ledger) Finish(args FinishArgs) {
+	keeper, address, ok := l.keeperOf(args.Group)
+	if ok && keeper == l.vm {
+		l.finish(args)
+		return
+	}
+	if !ok {
+		return // the keeper takes an attempt that does not finish as unknown
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, attemptGrace)
+		defer cancel()
+		_ = l.peers.Call(ctx, address, "Ledger.Finish", &args, &Nothing{}) // as above
+	}()
+}
+
+func (l *Ledger) finish(args FinishArgs) {
+	b := l.lookup(args.Group)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current, open := b.attempts[args.Key]
+	if open && current.id != args.Attempt {
+		return // a late message of an earlier attempt must not end this one
+	}
+	now := l.clock.Now()
+	entry := dedupe.Entry{Key: args.Key, Epoch: b.epoch}
+	switch {
+	case args.Outcome == OutcomeDone && args.Answer != nil:
+		b.table.Complete(now, args.Key, *args.Answer)
+		entry.Phase, entry.Answer = dedupe.PhaseDone, args.Answer
+	case !open:
+		return
+	case args.Outcome == OutcomeNotRun:
+		b.table.Fail(now, args.Key, true)
+		b.settle(args.Key)
+		return
+	default:
+		b.table.Fail(now, args.Key, false)
+		entry.Phase = dedupe.PhaseUnknown
+	}
+	if open {
+		b.settle(args.Key)
+	}
+	if b.keeper && len(b.copies) > 0 {
+		b.pending++
+		go l.copyOutcome(b, b.copies, CopyArgs{Group: b.group, Epoch: b.epoch, Entries: []dedupe.Entry{entry}})
+	}
+}
+
+// copyOutcome is tried once: a copy without the outcome answers "unknown",
+// which is true.
+func (l *Ledger) copyOutcome(b *book, copies []string, args CopyArgs) {
+	l.copyToAll(l.ctx, copies, args)
+	b.mu.Lock()
+	b.pending--
+	b.mu.Unlock()
+}
--- /dev/null
+++ b/node/manager/groups.go
@@ -0,0 +1,286 @@
+package manager
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangogate/mangogate/core/dedupe"
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/core/placement"
+	"github.com/mangogate/mangogate/core/shardmap"
+	"github.com/mangogate/mangogate/node/timeline"
+)
+
+const (
+	// busyPatience is how long the change of a dispatcher waits for what the
+	// old one has in flight; its late outcomes still reach the new one.
+	busyPatience = 500 * time.Millisecond
+	// copyPatience is how long a planned change waits for a complete copy.
+	copyPatience = 5 * time.Second
+	// epochBits is the room for changes within one term.
+	epochBits = 20
+)
+
+// groupState is a group's map entry and how it came about.
+type groupState struct {
+	entry      shardmap.Group
+	dataCentre string
+	// previous are VMs that dispatched before and may not have stopped.
+	previous  []string
+	sequence  uint64 // first map without them
+	changedAt time.Duration
+	notBefore time.Duration
+	// dataEpochs are the last epochs at which a copy can be complete.
+	dataEpochs   []uint64
+	waitingSince time.Duration // for a complete copy
+}
+
+// planGroups keeps a dispatcher for each group.
+func (t *tenure) planGroups(now time.Duration) {
+	if t.docVersion == 0 || !t.ready() {
+		return
+	}
+	if t.sequence == 0 {
+		t.adoptGroups()
+	}
+	vms := t.vmList(now)
+	wanted := map[string]bool{}
+	for _, s := range t.doc.Services {
+		t.planGroup(now, shardmap.LedgerGroup(s.Name), t.mainDataCentre(s.Name), vms, wanted)
+		if s.Ownership != inventory.OwnershipKey {
+			continue
+		}
+		for _, target := range t.doc.TargetsOf(s.Name) {
+			t.planGroup(now, s.Name+"/"+target.Name, target.DataCentre, vms, wanted)
+		}
+	}
+	for name := range t.groups {
+		if !wanted[name] {
+			delete(t.groups, name)
+			t.dirty = true
+		}
+	}
+}
+
+// adoptGroups continues the groups of the newest map of earlier terms.
+func (t *tenure) adoptGroups() {
+	if t.base == nil || len(t.groups) > 0 {
+		return
+	}
+	for name, entry := range t.base.Groups {
+		g := &groupState{entry: entry, dataEpochs: []uint64{entry.Epoch}, changedAt: t.started, sequence: 1}
+		if !entry.Active {
+			// The dispatcher before it is not known; its lease ends by then.
+			g.notBefore = t.started + mapLeaseBound
+		}
+		t.groups[name] = g
+	}
+}
+
+// mainDataCentre returns the data centre with the most targets of a service.
+func (t *tenure) mainDataCentre(service string) string {
+	counts := map[string]int{}
+	best := ""
+	for _, target := range t.doc.TargetsOf(service) {
+		counts[target.DataCentre]++
+		if best == "" || counts[target.DataCentre] > counts[best] {
+			best = target.DataCentre
+		}
+	}
+	return best
+}
+
+func (t *tenure) planGroup(now time.Duration, name, dataCentre string, vms []placement.VM, wanted map[string]bool) {
+	wanted[name] = true
+	g := t.groups[name]
+	if g == nil {
+		g = &groupState{}
+		t.groups[name] = g
+	}
+	g.dataCentre = dataCentre
+	want := placement.Dispatchers(name, dataCentre, vms, placement.Dispatch{Dispatcher: g.entry.Dispatcher, Copies: g.entry.Copies})
+	if !shardmap.IsLedger(name) {
+		want.Copies = nil
+	}
+	switch {
+	case want.Dispatcher == "":
+	case want.Dispatcher != g.entry.Dispatcher:
+		t.changeDispatcher(now, name, g, want, vms)
+	case !sameSet(want.Copies, g.entry.Copies):
+		t.setEntry(now, name, g, shardmap.Group{
+			Dispatcher: g.entry.Dispatcher, Active: g.entry.Active, Copies: want.Copies, UnknownUntilMS: g.entry.UnknownUntilMS,
+		})
+	}
+	t.activate(now, name, g)
+}
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, x := range a {
+		if !slices.Contains(b, x) {
+			return false
+		}
+	}
+	return true
+}
+
+// setEntry gives the group a new entry and epoch.
+func (t *tenure) setEntry(now time.Duration, name string, g *groupState, entry shardmap.Group) {
+	t.epochs++
+	entry.Epoch = t.term<<epochBits | t.epochs
+	if entry.Active {
+		g.noteEpoch(entry.Epoch)
+	}
+	g.entry, g.changedAt, g.sequence = entry, now, t.sequence+1
+	t.dirty = true
+	t.m.events.Record(timeline.Event{Kind: "group.changed", Group: name, Term: t.term, Detail: entry.Dispatcher})
+}
+
+// noteEpoch keeps the last two epochs: until a copy has confirmed the newer
+// one, it is complete if it was at the older, because every intent of the newer
+// one was copied to it before the write was sent.
+func (g *groupState) noteEpoch(epoch uint64) {
+	g.dataEpochs = append(g.dataEpochs, epoch)
+	if n := len(g.dataEpochs); n > 2 {
+		g.dataEpochs = g.dataEpochs[n-2:]
+	}
+}
+
+// changeDispatcher moves a group to another VM. A group with write intents
+// moves to a complete copy; when none is left, the outcome of writes that are
+// not known is unknown for the retention of intents.
+func (t *tenure) changeDispatcher(now time.Duration, name string, g *groupState, want placement.Dispatch, vms []placement.VM) {
+	old := g.entry
+	entry := shardmap.Group{Dispatcher: want.Dispatcher, Copies: want.Copies}
+	if shardmap.IsLedger(name) && old.Dispatcher != "" {
+		next, complete := t.completeCopy(name, g, vms)
+		if !complete && t.waitForCopy(now, name, g, want, vms) {
+			return
+		}
+		if complete {
+			entry.Dispatcher = next
+			entry.Copies = slices.DeleteFunc(append([]string{want.Dispatcher}, want.Copies...), func(vm string) bool { return vm == next })
+			entry.Copies = entry.Copies[:min(2, len(entry.Copies))]
+			entry.UnknownUntilMS = old.UnknownUntilMS
+		} else {
+			entry.UnknownUntilMS = unknownUntil()
+			t.m.logger.Warn("no complete copy of the write intents is left; unknown writes are not run for the retention",
+				"group", name, "retention", dedupe.DefaultConfig().Retention)
+		}
+	}
+	if shardmap.IsLedger(name) && old.Dispatcher == "" && !t.fresh && t.base == nil {
+		entry.UnknownUntilMS = unknownUntil()
+	}
+	if old.Active {
+		g.previous = append(g.previous, old.Dispatcher)
+	}
+	g.waitingSince = 0
+	t.setEntry(now, name, g, entry)
+}
+
+func unknownUntil() int64 {
+	return time.Now().Add(dedupe.DefaultConfig().Retention).UnixMilli()
+}
+
+// completeCopy returns an available VM whose copy is complete.
+func (t *tenure) completeCopy(name string, g *groupState, vms []placement.VM) (string, bool) {
+	for _, candidate := range g.entry.Copies {
+		v := t.vms[candidate]
+		i := slices.IndexFunc(vms, func(p placement.VM) bool { return p.Name == candidate && p.Available })
+		if v == nil || i < 0 {
+			continue
+		}
+		if r, ok := v.group(name); ok && r.Complete && slices.Contains(g.dataEpochs, r.Epoch) {
+			return candidate, true
+		}
+	}
+	return "", false
+}
+
+// waitForCopy gives a dispatcher that is leaving in good order time to bring a
+// copy up to date.
+func (t *tenure) waitForCopy(now time.Duration, name string, g *groupState, want placement.Dispatch, vms []placement.VM) bool {
+	v := t.vms[g.entry.Dispatcher]
+	if v == nil || !v.reachable(now) || !g.entry.Active {
+		return false
+	}
+	if g.waitingSince == 0 {
+		g.waitingSince = now
+	}
+	copies := append([]string{want.Dispatcher}, want.Copies...)
+	copies = copies[:min(2, len(copies))]
+	if !sameSet(copies, g.entry.Copies) {
+		t.setEntry(now, name, g, shardmap.Group{
+			Dispatcher: g.entry.Dispatcher, Active: true, Copies: copies, UnknownUntilMS: g.entry.UnknownUntilMS,
+		})
+	}
+	return now-g.waitingSince < copyPatience
+}
+
+// activate lets the dispatcher begin once those before it have stopped and more
+// than half of the members hold the change.
+func (t *tenure) activate(now time.Duration, name string, g *groupState) {
+	if g.entry.Active || g.entry.Dispatcher == "" || now < g.notBefore {
+		return
+	}
+	g.previous = slices.DeleteFunc(g.previous, func(vm string) bool {
+		return t.released(now, vm, g.sequence, func(v *vmState) bool {
+			return v.busyGroup(name) && now-g.changedAt < busyPatience
+		})
+	})
+	if len(g.previous) > 0 || !t.majority(func(v *vmState) bool { return v.installed >= g.sequence }) {
+		return
+	}
+	g.entry.Active = true
+	g.noteEpoch(g.entry.Epoch)
+	t.dirty = true
+	t.m.events.Record(timeline.Event{Kind: "group.activated", Group: name, Term: t.term, Detail: g.entry.Dispatcher})
+}
+
+// publish makes a new map when something has changed.
+func (t *tenure) publish(now time.Duration) {
+	if !t.dirty || t.docVersion == 0 || !t.ready() || !t.settled(now) {
+		return
+	}
+	t.dirty = false
+	t.sequence++
+	m := &shardmap.Map{
+		Term: t.term, Sequence: t.sequence, ConfigVersion: t.config,
+		Shards: map[string][]shardmap.Route{}, Groups: map[string]shardmap.Group{}, Peers: map[string]string{},
+	}
+	for service, routes := range t.routes {
+		m.Shards[service] = slices.Clone(routes)
+	}
+	for name, g := range t.groups {
+		m.Groups[name] = g.entry
+	}
+	for name, v := range t.vms {
+		m.Peers[name] = v.address
+	}
+	t.current = m
+	t.m.metrics.maps.Inc(1)
+}
+
+// settled tells whether the first map of the term may be published: servers
+// have had time to confirm what they hold, and the log says that a map is in use.
+func (t *tenure) settled(now time.Duration) bool {
+	if t.sequence > 0 {
+		return true
+	}
+	if t.base == nil && !t.published() {
+		return false
+	}
+	if now-t.started >= settleTime {
+		return true
+	}
+	for _, routes := range t.routes {
+		for _, r := range routes {
+			if r.Owner == "" {
+				return false
+			}
+		}
+	}
+	return len(t.groups) > 0
+}
--- /dev/null
+++ b/node/manager/shards.go
@@ -0,0 +1,185 @@
+package manager
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/mangogate/mangogate/core/control"
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/core/lease"
+	"github.com/mangogate/mangogate/core/placement"
+	"github.com/mangogate/mangogate/node/timeline"
+)
+
+const (
+	appendTimeout = 3 * time.Second
+	// maxShardsPerRecord keeps records well under control.MaxRecordBytes.
+	maxShardsPerRecord = 4096
+)
+
+// adoptAssignments takes over durable assignments once more than half of the
+// members have replayed them, so that every later manager knows their owners.
+func (t *tenure) adoptAssignments(now time.Duration, st *control.State) {
+	version := st.AssignVersion()
+	if version == t.adopted || (t.adopted > 0 && !t.majority(func(v *vmState) bool { return v.report.AssignVersion >= version })) {
+		return
+	}
+	all, _ := st.Assignments()
+	var changed []lease.Assignment
+	for _, a := range all {
+		key := control.ShardKey{Service: a.Service, Shard: a.Shard}
+		have, known := t.assigned[key]
+		if known && have.Fence > a.Fence {
+			continue // promoted since, and not durable yet
+		}
+		if known && have.Fence == a.Fence && have.Owner == a.Owner && slices.Equal(have.Standbys, a.Standbys) {
+			continue
+		}
+		t.assigned[key] = a
+		changed = append(changed, leaseAssignment(a))
+	}
+	t.adopted = version
+	t.carryOut(now, t.table.Step(now, lease.Assigned{Assignments: changed}))
+	t.m.events.Record(timeline.Event{Kind: "assignments.adopted", Term: t.term})
+}
+
+func leaseAssignment(a control.ShardAssignment) lease.Assignment {
+	return lease.Assignment{
+		Shard: lease.Shard{Service: a.Service, Index: a.Shard}, Owner: a.Owner, Standbys: a.Standbys, Fence: a.Fence,
+	}
+}
+
+// planShards compares the placement with what is assigned. Standbys of lost
+// servers are promoted at once; everything else waits for the log.
+func (t *tenure) planShards(now time.Duration) {
+	if t.docVersion == 0 {
+		return
+	}
+	var record []control.ShardAssignment
+	var base uint64
+	var first bool
+	t.m.replica.View(func(st *control.State) {
+		base = st.AssignVersion()
+		first = t.base == nil && t.ready() && !st.Published()
+		for _, s := range t.doc.Services {
+			if s.Ownership == inventory.OwnershipKey {
+				record = append(record, t.planService(now, st, s)...)
+			}
+		}
+	})
+	if len(record) == 0 && !first {
+		return
+	}
+	t.appendAssignments(base, record[:min(len(record), maxShardsPerRecord)], first && len(record) == 0)
+}
+
+// planService returns the assignments of a service that the log lacks.
+func (t *tenure) planService(now time.Duration, st *control.State, s inventory.Service) []control.ShardAssignment {
+	shards := make([]placement.Shard, s.Shards)
+	for i := range shards {
+		a := t.assigned[control.ShardKey{Service: s.Name, Shard: i}]
+		shards[i] = placement.Shard{Owner: a.Owner, Standbys: a.Standbys}
+	}
+	next := placement.Assign(s.Name, t.serverList(now, st, s.Name), shards)
+	var record []control.ShardAssignment
+	for i, want := range next {
+		key := control.ShardKey{Service: s.Name, Shard: i}
+		durable, logged := st.Assignment(key)
+		a := t.decide(now, key, durable, want)
+		if a.Owner == "" {
+			continue
+		}
+		if !logged || a.Fence != durable.Fence || a.Owner != durable.Owner || !slices.Equal(a.Standbys, durable.Standbys) {
+			record = append(record, a)
+		}
+	}
+	return record
+}
+
+// decide returns the assignment that a shard is to have in the log. A logged
+// standby of a lost owner takes over at once, with a fence from the block that
+// the log has handed out; the promotion is provisional until it is logged.
+func (t *tenure) decide(now time.Duration, key control.ShardKey, durable control.ShardAssignment, want placement.Shard) control.ShardAssignment {
+	have := t.assigned[key]
+	a := control.ShardAssignment{Service: key.Service, Shard: key.Shard, Owner: want.Owner, Standbys: want.Standbys, Fence: have.Fence}
+	if want.Owner == have.Owner {
+		return a
+	}
+	// A move that is logged but not adopted yet keeps its fence.
+	if durable.Owner == want.Owner && durable.Fence > have.Fence {
+		a.Fence = durable.Fence
+		return a
+	}
+	top := max(have.Fence, durable.Fence, t.table.HighestFence(lease.Shard{Service: key.Service, Index: key.Shard}))
+	if s := t.servers[have.Owner]; s != nil && s.lost && slices.Contains(durable.Standbys, want.Owner) {
+		a.Fence = top + 1
+		t.assigned[key] = a
+		t.carryOut(now, t.table.Step(now, lease.Assigned{Assignments: []lease.Assignment{leaseAssignment(a)}}))
+		index := key.Shard
+		t.m.events.Record(timeline.Event{Kind: "shard.promoted_provisionally", Service: key.Service, Shard: &index, Target: a.Owner, Term: t.term})
+		return a
+	}
+	a.Fence = (top/control.FenceBlock + 1) * control.FenceBlock
+	return a
+}
+
+// raiseFence gives a shard a fence above one that a server reported.
+func (t *tenure) raiseFence(now time.Duration, f lease.FenceStale) {
+	key := control.ShardKey{Service: f.Shard.Service, Shard: f.Shard.Index}
+	a, ok := t.assigned[key]
+	if !ok || a.Fence > f.Highest {
+		return
+	}
+	a.Fence = f.Highest + 1
+	t.assigned[key] = a
+	t.carryOut(now, t.table.Step(now, lease.Assigned{Assignments: []lease.Assignment{leaseAssignment(a)}}))
+}
+
+func (t *tenure) serverList(now time.Duration, st *control.State, service string) []placement.Server {
+	var out []placement.Server
+	for _, target := range t.doc.TargetsOf(service) {
+		s := t.servers[target.Name]
+		// A server that has not answered yet is given the time that its old
+		// lease may last before its shards are moved.
+		heard := s != nil && !s.lost && (s.answered || now-t.started < mapLeaseBound)
+		out = append(out, placement.Server{
+			Name: target.Name, DataCentre: target.DataCentre, Weight: target.EffectiveWeight(),
+			Available: heard && !st.TargetOut(target) && !t.saysDraining(target.Name),
+		})
+	}
+	return out
+}
+
+// saysDraining tells whether a dispatcher reports that the target is leaving.
+func (t *tenure) saysDraining(target string) bool {
+	for _, v := range t.vms {
+		if slices.Contains(v.report.Draining, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// appendAssignments writes one record at a time. Its effect comes back through
+// the replay, so that an unknown result needs no treatment here.
+func (t *tenure) appendAssignments(base uint64, shards []control.ShardAssignment, published bool) {
+	if t.appending || !t.opened {
+		return
+	}
+	t.appending = true
+	rec := control.Record{Assign: &control.AssignmentChange{Term: t.term, Base: base, Shards: shards, Published: published}}
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, appendTimeout)
+		defer cancel()
+		verdict, err := t.m.replica.Append(ctx, rec)
+		t.m.post(func() {
+			t.appending = false
+			if err != nil || !verdict.Accepted {
+				return // planned again
+			}
+			t.m.metrics.records.Inc(1)
+			t.m.events.Record(timeline.Event{Kind: "assignments.durable", Term: t.term})
+		})
+	}()
+}
--- /dev/null
+++ b/node/peer/client.go
@@ -0,0 +1,281 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+)
+
+// ClientName is the module name of Client.
+const ClientName = "peer.client"
+
+const (
+	dialTimeout  = 500 * time.Millisecond
+	pingInterval = 300 * time.Millisecond // between pings while calls are waiting
+	pingTimeout  = 400 * time.Millisecond // after this a connection is condemned
+	// connsPerPeer spreads large bodies, so that one does not hold up all calls.
+	connsPerPeer = 4
+)
+
+// CallError is a failed call. MayHaveRun is false only when the call provably
+// did not reach the peer.
+type CallError struct {
+	Step       string // dial, send or call
+	Peer       string
+	Method     string
+	MayHaveRun bool
+	Err        error
+}
+
+// Error returns the step, the method and the peer.
+func (e *CallError) Error() string {
+	return e.Step + " " + e.Method + " at peer " + e.Peer + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Client calls other VMs by address.
+type Client struct {
+	key       []byte
+	tls       *tls.Config
+	condemned metrics.Counter
+
+	mu     sync.Mutex
+	peers  map[string]*connSet
+	closed bool
+}
+
+type connSet struct {
+	slots [connsPerPeer]*conn
+	next  int
+}
+
+// conn is one connection with its watchdog.
+type conn struct {
+	ready    chan struct{} // closed when the dial has ended
+	rpc      *rpc.Client
+	err      error
+	mu       sync.Mutex
+	waiting  int
+	watching bool
+	dead     bool
+}
+
+// NewClient returns a client.
+func NewClient(key []byte, tlsConfig *tls.Config, registry metrics.Registry) *Client {
+	return &Client{
+		key: key, tls: tlsConfig, peers: map[string]*connSet{},
+		condemned: metrics.GetOrRegisterCounter("peer.connections_condemned", registry),
+	}
+}
+
+// Name implements kernel.Module.
+func (c *Client) Name() string { return ClientName }
+
+// Call calls a method of the peer at an address and waits until ctx ends. The
+// error is a *CallError or the peer's rpc.ServerError.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	cn, err := c.connection(ctx, address)
+	if err != nil {
+		return &CallError{Step: "dial", Peer: address, Method: method, Err: err}
+	}
+	done := make(chan *rpc.Call, 1)
+	c.watch(address, cn)
+	defer cn.finished()
+	cn.rpc.Go(method, args, reply, done)
+	select {
+	case call := <-done:
+		if call.Error == nil {
+			return nil
+		}
+		var remote rpc.ServerError
+		if errors.As(call.Error, &remote) {
+			return remote
+		}
+		c.drop(address, cn)
+		return &CallError{Step: "call", Peer: address, Method: method, MayHaveRun: true, Err: call.Error}
+	case <-ctx.Done():
+		return &CallError{Step: "call", Peer: address, Method: method, MayHaveRun: true, Err: ctx.Err()}
+	}
+}
+
+func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, errors.New("client is closed")
+	}
+	set := c.peers[address]
+	if set == nil {
+		set = &connSet{}
+		c.peers[address] = set
+	}
+	set.next = (set.next + 1) % connsPerPeer
+	i := set.next
+	cn := set.slots[i]
+	if cn == nil {
+		cn = &conn{ready: make(chan struct{})}
+		set.slots[i] = cn
+		go c.dial(address, cn)
+	}
+	c.mu.Unlock()
+	select {
+	case <-cn.ready:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if cn.err != nil {
+		return nil, cn.err
+	}
+	return cn, nil
+}
+
+func (c *Client) dial(address string, cn *conn) {
+	defer close(cn.ready)
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
+	raw, err := d.Dial("tcp", address)
+	if err == nil && c.tls != nil {
+		raw = tls.Client(raw, tlsFor(c.tls, address))
+	}
+	if err == nil {
+		err = clientHandshake(raw, c.key)
+		if err != nil {
+			raw.Close()
+		}
+	}
+	if err != nil {
+		cn.err = err
+		c.drop(address, cn)
+		return
+	}
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.rpc = rpc.NewClient(raw)
+	if cn.dead { // the client was stopped meanwhile
+		cn.err = errors.New("client is closed")
+		cn.rpc.Close()
+	}
+}
+
+func tlsFor(base *tls.Config, address string) *tls.Config {
+	cfg := base.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	return cfg
+}
+
+// userTimeout bounds how long sent data may stay unacknowledged.
+const userTimeout = 2 * time.Second
+
+// SetUserTimeout sets TCP_USER_TIMEOUT; it is a net.Dialer control function.
+func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
+// drop removes a connection so that the next call dials a new one.
+func (c *Client) drop(address string, cn *conn) {
+	c.mu.Lock()
+	if set := c.peers[address]; set != nil {
+		for i := range set.slots {
+			if set.slots[i] == cn {
+				set.slots[i] = nil
+			}
+		}
+	}
+	c.mu.Unlock()
+	cn.mu.Lock()
+	cn.dead = true
+	client := cn.rpc
+	cn.mu.Unlock()
+	if client != nil {
+		client.Close()
+	}
+}
+
+// watch pings the connection while calls wait on it. A connection that a
+// device between the two ends has forgotten stays open and silent; the failed
+// ping closes it, and the waiting calls fail at once instead of at their deadline.
+func (c *Client) watch(address string, cn *conn) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.waiting++
+	if !cn.watching {
+		cn.watching = true
+		go c.watchdog(address, cn)
+	}
+}
+
+func (cn *conn) finished() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.waiting--
+}
+
+// stopWatching tells whether the watchdog can end.
+func (cn *conn) stopWatching() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.waiting > 0 && !cn.dead {
+		return false
+	}
+	cn.watching = false
+	return true
+}
+
+func (c *Client) watchdog(address string, cn *conn) {
+	for {
+		time.Sleep(pingInterval)
+		if cn.stopWatching() {
+			return
+		}
+		call := cn.rpc.Go("Ping.Ping", struct{}{}, new(struct{}), make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+			if call.Error != nil {
+				c.drop(address, cn)
+				return
+			}
+		case <-time.After(pingTimeout):
+			c.condemned.Inc(1)
+			c.drop(address, cn)
+			return
+		}
+	}
+}
+
+// Stop closes all connections.
+func (c *Client) Stop(context.Context) error {
+	c.mu.Lock()
+	c.closed = true
+	var all []*conn
+	for _, set := range c.peers {
+		for _, cn := range set.slots {
+			if cn != nil {
+				all = append(all, cn)
+			}
+		}
+	}
+	c.peers = map[string]*connSet{}
+	c.mu.Unlock()
+	for _, cn := range all {
+		c.drop("", cn)
+	}
+	return nil
+}
