--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -58,13 +58,17 @@
 // possible holder until its lease has certainly ended.
 type ServerRemoved struct{ Server string }
 
-// Reply is a server's answer to a grant.
+// Reply is a server's answer to a grant. Only answers to grants of this table
+// may be delivered; a server handles the grants of one term by sequence and
+// takes no shards from an older one.
 type Reply struct {
 	Server   string
 	Sequence uint64 // of the grant that it answers
 	BootID   string
 	// Clock is the server's clock reading when it answered.
 	Clock time.Duration
+	// Holds lists the shards whose lease is valid at Clock, including those
+	// that are still busy after being left out of a grant.
 	Holds []Hold
 	// Highest is the highest fence that the server has ever held, by shard.
 	Highest []Hold
@@ -103,6 +107,10 @@
 	Echo     time.Duration
 	Duration time.Duration
 	Shards   []Hold
+	// BootID is the boot in which the server read Echo. A server of another
+	// boot takes no shards from the grant, because it no longer knows which
+	// grants it had refused or released.
+	BootID string
 }
 
 // Granted says that a server confirmed a shard: requests may go to it.
@@ -126,8 +134,17 @@
 // and is cold.
 type Restarted struct{ Server, BootID string }
 
-func (Grant) action()     {}
-func (Granted) action()   {}
-func (Withdrawn) action() {}
-func (Lost) action()      {}
-func (Restarted) action() {}
+// FenceStale says that a shard's assignment is not granted, because a server
+// has held the shard under the fence Highest or a higher one was reported. A
+// new assignment with a higher fence lifts this.
+type FenceStale struct {
+	Shard   Shard
+	Highest uint64
+}
+
+func (Grant) action()      {}
+func (Granted) action()    {}
+func (Withdrawn) action()  {}
+func (Lost) action()       {}
+func (Restarted) action()  {}
+func (FenceStale) action() {}
