--- /dev/null
+++ b/node/logclient/transport.go
@@ -0,0 +1,56 @@
+package logclient
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// idleTrust is how long an idle connection is reused. Connections go
+	// silent without notice, so an older one is replaced by a new one.
+	idleTrust = 2 * time.Second
+	// keepAliveProbes is the number of unanswered probes that end a connection.
+	keepAliveProbes = 3
+	maxIdleConns    = 4
+)
+
+// newHTTPClient returns a client whose connections end when the peer has
+// acknowledged nothing for the timeout. Redirects are not followed: an append
+// would be sent twice.
+func newHTTPClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{
+		Timeout: timeout,
+		Control: userTimeout(timeout),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: max(timeout, time.Second), Interval: time.Second, Count: keepAliveProbes,
+		},
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     idleTrust,
+			MaxIdleConnsPerHost: maxIdleConns,
+			DisableCompression:  true, // the limits on answers count bytes as sent
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// userTimeout sets TCP_USER_TIMEOUT, so that the kernel drops a connection
+// whose peer acknowledges nothing instead of retransmitting for minutes.
+func userTimeout(timeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, conn syscall.RawConn) error {
+		var sockErr error
+		err := conn.Control(func(fd uintptr) {
+			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return sockErr
+	}
+}
