--- /dev/null
+++ b/core/control/control_test.go
@@ -0,0 +1,229 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed, so that a run gives the same verdict each time;
+// -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+type entry struct {
+	offset uint64
+	data   []byte
+}
+
+// drawLog draws a log whose bases, terms and sequence numbers are often, but
+// not always, the current ones. Two entries are at least 10 offsets apart.
+func drawLog(t *rapid.T, jumps bool) ([]entry, *State) {
+	s := NewState()
+	var log []entry
+	offset := uint64(0)
+	for i := range rapid.IntRange(0, 40).Draw(t, "records") {
+		data := []byte(`{"writer":"w0"}`)
+		if rapid.IntRange(0, 15).Draw(t, "malformed") > 0 {
+			data = encode(t, drawRecord(t, s, rapid.IntRange(0, 4).Draw(t, "kind")))
+		}
+		if jumps && rapid.IntRange(0, 9).Draw(t, "jump") == 0 {
+			offset += WriterRetention + uint64(i)
+		}
+		log = append(log, entry{offset, data})
+		s.ApplyBytes(offset, data)
+		offset += 10
+	}
+	return log, s
+}
+
+func drawRecord(t *rapid.T, s *State, kind int) Record {
+	rec := Record{Writer: fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "writer"))}
+	rec.Seq = s.WriterSeq(rec.Writer) + near(t, 1)
+	switch kind {
+	case 0:
+		rec.Document = &DocumentChange{s.documentVersion + near(t, 0), "ann", document(fmt.Sprint("d", near(t, 3)))}
+	case 1:
+		scope := rapid.SampledFrom([]DrainScope{ScopeDataCentre, ScopeVM, ScopeTarget, "rack"}).Draw(t, "scope")
+		rec.Drain = &DrainChange{scope, "a", rapid.Bool().Draw(t, "out"), s.Drain(scope, "a").Version + near(t, 0), "bob"}
+	case 2:
+		rec.Members = &MembersChange{s.membersVersion + near(t, 0), []Member{{0, "v1", "a", "p"}, {int(near(t, 1)), "v2", "b", "q"}}}
+	case 3:
+		rec.Term = &TermOpened{s.term + near(t, 1), rec.Writer}
+	default:
+		shard := ShardAssignment{"s", int(near(t, 0)), "t1", rapid.SampledFrom([][]string{nil, {}, {"t2"}}).Draw(t, "standbys"), FenceBlock * near(t, 2)}
+		rec.Assign = &AssignmentChange{s.term + near(t, 0), s.assignVersion + near(t, 0), []ShardAssignment{shard}}
+	}
+	return rec
+}
+
+// near draws n, or, in one of four cases, n plus 1 or less 1 down to 0.
+func near(t *rapid.T, n uint64) uint64 {
+	switch rapid.IntRange(0, 7).Draw(t, "near") {
+	case 0:
+		return n + 1
+	case 1:
+		return max(n, 1) - 1
+	}
+	return n
+}
+
+func document(name string) inventory.Document {
+	return inventory.Document{
+		Deployment:  name,
+		DataCentres: []inventory.DataCentre{{Name: "a"}},
+		Services:    []inventory.Service{{Name: "s", Ownership: inventory.OwnershipPool}},
+		Targets:     []inventory.Target{{Name: "t1", Service: "s", DataCentre: "a", Address: "127.0.0.1:1", Slots: 1, Connections: 1}},
+		Rules:       []inventory.Rule{{PathPrefix: "/", Service: "s", ReadMethods: []string{}}},
+	}
+}
+
+func encode(t require.TestingT, rec Record) []byte {
+	data, err := rec.Encode()
+	require.NoError(t, err)
+	return data
+}
+
+// Guards against replicas that disagree: two readers of the log, and one that
+// starts from a snapshot, must reach deeply equal states.
+func TestReplayFromSnapshotEqualsFullReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log, full := drawLog(t, true)
+		cut := rapid.IntRange(0, len(log)).Draw(t, "cut")
+		s := NewState()
+		for i, e := range log {
+			if i == cut {
+				s = throughChunks(t, s)
+			}
+			s.ApplyBytes(e.offset, e.data)
+		}
+		require.Equal(t, full, s)
+		require.Equal(t, full, throughChunks(t, s))
+	})
+}
+
+func throughChunks(t *rapid.T, s *State) *State {
+	chunks, err := Chunks(s.Snapshot(), "id", 400)
+	require.NoError(t, err)
+	var a Assembler
+	for _, c := range chunks {
+		data, err := c.Encode()
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), 400)
+		c, err = DecodeChunk(data)
+		require.NoError(t, err)
+		_, err = a.Add(c)
+		require.NoError(t, err)
+	}
+	snap, ok := a.Newest()
+	require.True(t, ok)
+	restored, err := Restore(snap)
+	require.NoError(t, err)
+	return restored
+}
+
+// Guards against a configuration that reverts and a term that is reopened.
+func TestVersionsNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log, _ := drawLog(t, true)
+		s, last := NewState(), [5]uint64{}
+		for _, e := range log {
+			s.ApplyBytes(e.offset, e.data)
+			now := [5]uint64{s.configVersion, s.documentVersion, s.membersVersion, s.term, s.assignVersion}
+			for i := range now {
+				require.GreaterOrEqual(t, now[i], last[i])
+			}
+			last = now
+		}
+	})
+}
+
+// Guards against two winners of an operator race, and against a loser that is
+// not told the winner.
+func TestFirstOfTwoRecordsWithTheSameBaseWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, s := drawLog(t, true)
+		doc, drain := document("d"), DrainChange{ScopeVM, "v", true, s.Drain(ScopeVM, "v").Version, "ann"}
+		rec := rapid.SampledFrom([]Record{
+			{Document: &DocumentChange{s.documentVersion, "ann", doc}},
+			{Drain: &drain},
+			{Members: &MembersChange{s.membersVersion, []Member{{0, "v1", "a", "p"}}}},
+			{Assign: &AssignmentChange{s.term, s.assignVersion, nil}},
+		}).Draw(t, "record")
+		at := s.Next() + 3
+		rec.Writer, rec.Seq = "x", 1
+		require.Equal(t, Verdict{Offset: at, Accepted: true}, s.Apply(at, rec))
+		rec.Writer = "y"
+		second := s.Apply(at+5, rec)
+		require.False(t, second.Accepted)
+		require.Equal(t, ReasonBase, second.Reason)
+		require.Equal(t, version(at), second.Winner)
+	})
+}
+
+// Guards against an append that was repeated after a lost answer, or a page
+// that was delivered twice, taking effect twice.
+func TestDuplicatesHaveNoSecondEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log, full := drawLog(t, false)
+		s := NewState()
+		for i, e := range log {
+			s.ApplyBytes(e.offset, e.data)
+			before := *s
+			require.False(t, s.ApplyBytes(e.offset, e.data).Accepted)
+			require.Equal(t, before, *s)
+			again := log[rapid.IntRange(0, i).Draw(t, "again")]
+			require.False(t, s.ApplyBytes(e.offset+1, again.data).Accepted)
+		}
+		got, want := s.Snapshot(), full.Snapshot()
+		got.Next, got.Writers = want.Next, want.Writers // the duplicates are records too
+		require.Equal(t, want, got)
+	})
+}
+
+// Guards against a manager that was replaced changing the assignments.
+func TestRecordOfALowerTermIsVoid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		_, s := drawLog(t, true)
+		term, at := s.term+uint64(rapid.IntRange(1, 5).Draw(t, "ahead")), s.Next()
+		require.True(t, s.Apply(at, Record{Writer: "x", Seq: 1, Term: &TermOpened{term, "x"}}).Accepted)
+		lower := rapid.Uint64Range(0, term-1).Draw(t, "lower")
+		for i, rec := range []Record{
+			{Term: &TermOpened{lower, "y"}}, {Term: &TermOpened{term, "y"}},
+			{Assign: &AssignmentChange{lower, s.assignVersion, []ShardAssignment{{Service: "s", Owner: "t2", Fence: 1 << 40}}}},
+		} {
+			rec.Writer, rec.Seq = "y", uint64(i+1)
+			v := s.Apply(s.Next(), rec)
+			require.Equal(t, Verdict{Offset: v.Offset, Reason: ReasonOldTerm, Winner: term, By: "x"}, v)
+		}
+	})
+}
+
+// Guards against a table of writers that grows with every process start.
+func TestSilentWritersAreForgotten(t *testing.T) {
+	s := NewState()
+	drain := func(writer string, seq uint64) Record {
+		return Record{Writer: writer, Seq: seq, Drain: &DrainChange{Scope: "rack"}}
+	}
+	require.Equal(t, ReasonInvalid, s.Apply(0, drain("w", 5)).Reason)
+	require.Equal(t, ReasonRepeated, s.Apply(WriterRetention, drain("w", 5)).Reason)
+	require.EqualValues(t, 5, s.WriterSeq("w"))
+	require.Equal(t, ReasonInvalid, s.Apply(2*WriterRetention+1, drain("w", 1)).Reason, "forgotten")
+	for i := range WriterRetention + 3*writerSweep {
+		s.Apply(s.Next(), drain(fmt.Sprint("n", i), 1))
+	}
+	require.LessOrEqual(t, len(s.writers), WriterRetention+writerSweep)
+	require.Zero(t, s.WriterSeq("w"))
+}
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -38,6 +38,10 @@
 	ScopeTarget     DrainScope = "target"
 )
 
+func (d DrainScope) valid() bool {
+	return d == ScopeDataCentre || d == ScopeVM || d == ScopeTarget
+}
+
 // DrainChange takes something out of service or back in.
 type DrainChange struct {
 	Scope  DrainScope `json:"scope"`
@@ -92,6 +96,9 @@
 // MaxRecordBytes is the largest record that readers accept.
 const MaxRecordBytes = 4 << 20
 
+// MaxWriterBytes is the longest writer id; every state keeps the recent ones.
+const MaxWriterBytes = 256
+
 // Encode returns the record as JSON.
 func (r Record) Encode() ([]byte, error) {
 	data, err := json.Marshal(r)
@@ -107,6 +114,9 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return r, errors.Wrap(err, "decode control record")
 	}
+	if len(r.Writer) > MaxWriterBytes {
+		return r, errors.Errorf("control record's writer id has %d bytes, more than %d", len(r.Writer), MaxWriterBytes)
+	}
 	if n := r.bodies(); n != 1 {
 		return r, errors.Errorf("control record of writer %q has %d bodies, not 1", r.Writer, n)
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/pkg/errors"
 )
 
 // Reason says why a record is void.
@@ -65,7 +67,7 @@
 	manager         string
 	assignments     map[ShardKey]ShardAssignment
 	assignVersion   uint64
-	writers         map[string]uint64
+	writers         map[string]writerMark
 }
 
 // NewState returns the state before the first record.
@@ -73,7 +75,7 @@
 	return &State{
 		drains:      map[DrainKey]Drain{},
 		assignments: map[ShardKey]ShardAssignment{},
-		writers:     map[string]uint64{},
+		writers:     map[string]writerMark{},
 	}
 }
 
@@ -86,19 +88,24 @@
 func (s *State) ApplyBytes(offset uint64, data []byte) Verdict {
 	rec, err := DecodeRecord(data)
 	if err != nil {
-		s.next = offset + 1
+		if offset >= s.next {
+			s.advance(offset)
+		}
 		return Verdict{Offset: offset, Reason: ReasonMalformed, Detail: err.Error()}
 	}
 	return s.Apply(offset, rec)
 }
 
-// Apply applies the record at an offset. Offsets must grow.
+// Apply applies the record at an offset. Offsets must grow: a record below the
+// next offset was applied already, and has no second effect.
 func (s *State) Apply(offset uint64, rec Record) Verdict {
-	s.next = offset + 1
-	if last, seen := s.writers[rec.Writer]; seen && rec.Seq <= last {
+	if offset < s.next {
+		return Verdict{Offset: offset, Reason: ReasonRepeated, Detail: "the offset was applied already"}
+	}
+	s.advance(offset)
+	if s.repeated(offset, rec) {
 		return Verdict{Offset: offset, Reason: ReasonRepeated}
 	}
-	s.writers[rec.Writer] = rec.Seq
 	v := s.applyBody(offset, rec)
 	v.Offset = offset
 	return v
@@ -127,22 +134,32 @@
 	if err := c.Document.Validate(); err != nil {
 		return Verdict{Reason: ReasonInvalid, Detail: err.Error()}
 	}
-	s.document = c.Document
+	s.document = normalDocument(c.Document)
 	s.documentVersion = version(offset)
 	s.documentAuthor = c.Author
 	s.configVersion = version(offset)
 	return Verdict{Accepted: true}
 }
 
+// normalDocument replaces empty lists that JSON leaves out by nil, so that a
+// state that was restored from a snapshot equals the one that wrote it.
+func normalDocument(doc inventory.Document) inventory.Document {
+	doc.Rules = slices.Clone(doc.Rules)
+	for i := range doc.Rules {
+		if len(doc.Rules[i].ReadMethods) == 0 {
+			doc.Rules[i].ReadMethods = nil
+		}
+	}
+	return doc
+}
+
 func (s *State) applyDrain(offset uint64, c *DrainChange) Verdict {
 	key := DrainKey{c.Scope, c.Name}
 	current := s.drains[key]
 	if c.Base != current.Version {
 		return Verdict{Reason: ReasonBase, Winner: current.Version, By: current.Author}
 	}
-	switch c.Scope {
-	case ScopeDataCentre, ScopeVM, ScopeTarget:
-	default:
+	if !c.Scope.valid() {
 		return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("unknown scope %q", c.Scope)}
 	}
 	s.drains[key] = Drain{Out: c.Out, Version: version(offset), Author: c.Author}
@@ -157,16 +174,23 @@
 	if len(c.Members) == 0 {
 		return Verdict{Reason: ReasonInvalid, Detail: "no members"}
 	}
+	if err := checkMembers(c.Members); err != nil {
+		return Verdict{Reason: ReasonInvalid, Detail: err.Error()}
+	}
+	s.members = append([]Member(nil), c.Members...)
+	s.membersVersion = version(offset)
+	return Verdict{Accepted: true}
+}
+
+func checkMembers(members []Member) error {
 	vms := map[string]bool{}
-	for i, m := range c.Members {
+	for i, m := range members {
 		if m.Slot != i || m.VM == "" || vms[m.VM] {
-			return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("member %d is out of place", i)}
+			return errors.Errorf("member %d is out of place", i)
 		}
 		vms[m.VM] = true
 	}
-	s.members = append([]Member(nil), c.Members...)
-	s.membersVersion = version(offset)
-	return Verdict{Accepted: true}
+	return nil
 }
 
 func (s *State) applyTerm(c *TermOpened) Verdict {
@@ -190,6 +214,7 @@
 		}
 	}
 	for _, a := range c.Shards {
+		a.Standbys = append([]string(nil), a.Standbys...)
 		s.assignments[ShardKey{a.Service, a.Shard}] = a
 	}
 	s.assignVersion = version(offset)
@@ -237,11 +262,6 @@
 	return out, s.assignVersion
 }
 
-// WriterSeq returns the highest sequence number seen from a writer. A writer
-// that does not know whether its append took effect reads until this reaches
-// the number of that append.
-func (s *State) WriterSeq(writer string) uint64 { return s.writers[writer] }
-
 // TargetOut tells whether a target gets no new work, because it or its data
 // centre is out of service.
 func (s *State) TargetOut(t inventory.Target) bool {
