Add the stand-in for the platform

Ruled out: a real log store; a token bucket library for the append limit, as none is pinned, so the limit counts the appends of the current second. Change: package standin/platform with streams, long polls, retention, a VM list with lag, and faults that are switched over HTTP or by method. Conclusion: other modules can be written against it.

--- /dev/null
+++ b/standin/platform/faults.go
@@ -0,0 +1,88 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Faults are the faults of the log service. The VM list has only VMsDown.
+type Faults struct {
+	Down        bool     `json:"down"`         // connections are cut without an answer
+	DelayMS     int      `json:"delay_ms"`     // before a request takes effect
+	LoseAnswers float64  `json:"lose_answers"` // share of appends that take effect and are not answered
+	DropAppends float64  `json:"drop_appends"` // share of appends that are cut before taking effect
+	Streams     []string `json:"streams"`      // that are affected; none named means all
+	Seed        int64    `json:"seed"`         // of the draws
+	VMsDown     bool     `json:"vms_down"`     // requests for the VM list are cut
+}
+
+type faultState struct {
+	Faults
+	rng     *rand.Rand
+	changed chan struct{} // closed when the faults are replaced
+}
+
+func (f *faultState) set(faults Faults) {
+	if f.changed != nil {
+		close(f.changed)
+	}
+	*f = faultState{Faults: faults, rng: rand.New(rand.NewSource(faults.Seed)), changed: make(chan struct{})}
+}
+
+func (f *faultState) affects(stream string) bool {
+	return len(f.Streams) == 0 || slices.Contains(f.Streams, stream)
+}
+
+func (f *faultState) draw(stream string, rate float64) bool {
+	return rate > 0 && f.affects(stream) && f.rng.Float64() < rate
+}
+
+// SetFaults replaces all faults and wakes the reads that wait.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.set(f)
+}
+
+// pass holds a request back for the delay or until ctx ends. It ends the
+// handler without an answer when the log service is down.
+func (s *Server) pass(ctx context.Context, stream string) {
+	s.mu.Lock()
+	f, affected := s.faults.Faults, s.faults.affects(stream)
+	s.mu.Unlock()
+	if affected && f.DelayMS > 0 && !f.Down {
+		select {
+		case <-time.After(time.Duration(f.DelayMS) * time.Millisecond):
+		case <-s.closed:
+		case <-ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+		s.mu.Lock()
+		f, affected = s.faults.Faults, s.faults.affects(stream)
+		s.mu.Unlock()
+	}
+	if affected && f.Down {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	f := s.faults.Faults
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, f)
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.SetFaults(f)
+	writeJSON(w, http.StatusOK, f)
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,2 +1,124 @@
-// Package platform is a stand-in for the platform: its log service and its list of VMs.
+// Package platform is a stand-in for the platform: its log service and its
+// list of VMs, with faults that tests switch on and off.
 package platform
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Limits and defaults of the log service.
+const (
+	DefaultMaxRecordBytes = 4 << 20
+	defaultMaxRecords     = 1000    // records an answer, when the reader names no number
+	maxAnswerBytes        = 8 << 20 // an answer holds at least one record
+	maxWait               = time.Minute
+)
+
+// Config holds the settings of a Server. The zero value keeps every record,
+// shows VM changes at once and has no rate limit.
+type Config struct {
+	RetainRecords    int           // records kept per stream; 0 means all
+	RetainAge        time.Duration // age after which a record is dropped; 0 means never
+	VMLag            time.Duration // time until a change of the VM list is visible
+	AppendsPerSecond int           // appends beyond this are answered 429; 0 means no limit
+	MaxRecordBytes   int64         // larger records are answered 413; 0 means DefaultMaxRecordBytes
+	Seed             int64         // of the faults, until they set their own
+}
+
+// Stats counts what the log service did.
+type Stats struct {
+	Appends     uint64                 `json:"appends"` // that took effect
+	Reads       uint64                 `json:"reads"`   // that were answered
+	Bytes       uint64                 `json:"bytes"`   // of records, appended and read
+	LostAnswers uint64                 `json:"lost_answers"`
+	Dropped     uint64                 `json:"dropped_appends"`
+	Limited     uint64                 `json:"limited_appends"`
+	Streams     map[string]StreamStats `json:"streams"`
+}
+
+// StreamStats holds the bounds of a stream.
+type StreamStats struct {
+	First uint64 `json:"first"` // lowest offset that is retained
+	Next  uint64 `json:"next"`  // offset of the next append
+}
+
+// Server is the platform. It is an http.Handler.
+type Server struct {
+	cfg    Config
+	mux    *http.ServeMux
+	mu     sync.Mutex
+	stream map[string]*stream
+	vms    vmList
+	faults faultState
+	stats  Stats
+	window appendWindow
+	closed chan struct{}
+	once   sync.Once
+}
+
+// New returns a platform without streams and VMs.
+func New(cfg Config) *Server {
+	if cfg.MaxRecordBytes == 0 {
+		cfg.MaxRecordBytes = DefaultMaxRecordBytes
+	}
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), stream: map[string]*stream{}, closed: make(chan struct{})}
+	s.vms.visible = map[string]VM{}
+	s.faults.set(Faults{Seed: cfg.Seed})
+	s.mux.HandleFunc("POST /v1/streams/{stream}/records", s.append)
+	s.mux.HandleFunc("GET /v1/streams/{stream}/records", s.read)
+	s.mux.HandleFunc("GET /v1/vms", s.listVMs)
+	s.mux.HandleFunc("POST /v1/vms", s.registerVM)
+	s.mux.HandleFunc("GET /v1/faults", s.getFaults)
+	s.mux.HandleFunc("POST /v1/faults", s.postFaults)
+	s.mux.HandleFunc("GET /v1/stats", s.getStats)
+	return s
+}
+
+// Handler returns the HTTP interface of the platform.
+func (s *Server) Handler() http.Handler { return s }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Close ends the reads that wait for new records.
+func (s *Server) Close() { s.once.Do(func() { close(s.closed) }) }
+
+// Stats returns the counters and the bounds of all streams.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.stats
+	out.Streams = make(map[string]StreamStats, len(s.stream))
+	for name, st := range s.stream {
+		s.expire(st)
+		out.Streams[name] = StreamStats{First: st.first, Next: st.next()}
+	}
+	return out
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Stats())
+}
+
+// appendWindow counts the appends of the current second.
+type appendWindow struct {
+	start time.Time
+	count int
+}
+
+// allow tells whether one more append keeps to the limit.
+func (a *appendWindow) allow(now time.Time, limit int) bool {
+	if limit <= 0 {
+		return true
+	}
+	if now.Sub(a.start) >= time.Second {
+		a.start, a.count = now, 0
+	}
+	if a.count >= limit {
+		return false
+	}
+	a.count++
+	return true
+}
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// The states of a VM. StateGone is final for an id.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	StateGone    = "gone"
+)
+
+// VM is an entry of the VM list.
+type VM struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"data_centre"`
+	PeerAddress string `json:"peer_address"`
+	State       string `json:"state"`
+}
+
+// ErrVMGone says that an id was used again after it was listed as gone.
+var ErrVMGone = errors.New("the VM is gone, which is final for its id")
+
+type vmList struct {
+	visible map[string]VM
+	pending []vmChange // in order of time
+}
+
+type vmChange struct {
+	vm VM
+	at time.Time // when the change becomes visible
+}
+
+// settle makes the changes visible that are due.
+func (l *vmList) settle(now time.Time) {
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		l.visible[l.pending[0].vm.ID] = l.pending[0].vm
+		l.pending = l.pending[1:]
+	}
+}
+
+func (l *vmList) newest(id string) VM {
+	for _, change := range slices.Backward(l.pending) {
+		if change.vm.ID == id {
+			return change.vm
+		}
+	}
+	return l.visible[id]
+}
+
+// SetVM registers or changes an entry. The change is visible after Config.VMLag.
+func (s *Server) SetVM(vm VM) error {
+	if vm.ID == "" || !slices.Contains([]string{StateLive, StateLeaving, StateGone}, vm.State) {
+		return errors.New("a VM needs an id and the state live, leaving or gone")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.vms.newest(vm.ID).State == StateGone && vm.State != StateGone {
+		return ErrVMGone
+	}
+	s.vms.pending = append(s.vms.pending, vmChange{vm: vm, at: time.Now().Add(s.cfg.VMLag)})
+	return nil
+}
+
+// VMs returns the visible entries in order of id.
+func (s *Server) VMs() []VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms.settle(time.Now())
+	out := make([]VM, 0, len(s.vms.visible))
+	for _, id := range slices.Sorted(maps.Keys(s.vms.visible)) {
+		out = append(out, s.vms.visible[id])
+	}
+	return out
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	down := s.faults.VMsDown
+	s.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, map[string][]VM{"vms": s.VMs()})
+}
+
+func (s *Server) registerVM(w http.ResponseWriter, r *http.Request) {
+	var vm VM
+	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+		writeError(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	switch err := s.SetVM(vm); {
+	case errors.Is(err, ErrVMGone):
+		writeError(w, http.StatusConflict, err.Error())
+	case err != nil:
+		writeError(w, http.StatusBadRequest, err.Error())
+	default:
+		writeJSON(w, http.StatusOK, vm)
+	}
+}
