Add the stand-in for a target

Cause: dispatchers, the manager and the tests need a server that follows the target protocol of section 6 of the design page. Ruled out: stopping a request when its sender hangs up, since most servers run on; a clock that starts at 0 with each process, since an echo made before a restart could then prolong a lease. Effects are applied in the critical section that checks the lease again. Conclusion: other modules can be written against it.

--- /dev/null
+++ b/standin/target/request.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mangogate/mangogate/core/inventory"
+)
+
+// Headers of the target protocol and of this stand-in.
+const (
+	HeaderRequestID     = "Mangogate-Request-Id"
+	HeaderShard         = "Mangogate-Shard"
+	HeaderFence         = "Mangogate-Fence"
+	HeaderDispatchEpoch = "Mangogate-Dispatch-Epoch"
+	HeaderDeadline      = "Mangogate-Deadline-Ms" // time left at the sender
+	HeaderNotRun        = "Mangogate-Not-Run"
+	HeaderIdempotency   = "Idempotency-Key"
+	HeaderTarget        = "X-Target"
+	HeaderBootID        = "X-Boot-Id"
+	HeaderAnswerBytes   = "X-Answer-Bytes" // size of the padding of the answer
+)
+
+// Reasons in HeaderNotRun. The design page names the first four.
+const (
+	NotRunShed      = "shed"
+	NotRunFence     = "fence"
+	NotRunNotOwner  = "not-owner"
+	NotRunDraining  = "draining"
+	NotRunDeadline  = "deadline"
+	NotRunCancelled = "cancelled"
+)
+
+const (
+	maxBodyBytes    = 16 << 20
+	maxPaddingBytes = 16 << 20
+)
+
+// request is one request between its arrival and its answer.
+type request struct {
+	id, key, method, idempotency string
+	shard                        int // -1 when the header is missing
+	fence, epoch                 uint64
+	deadline                     time.Time // zero means none
+	padding                      int
+	crash                        bool
+	bodyHash                     string
+	boot                         *boot
+	start                        time.Time
+	started                      bool          // counted as running
+	cancelled                    chan struct{} // closed by a cancellation
+	isCancelled                  bool
+}
+
+func (s *Server) parse(r *http.Request) (*request, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(body)
+	req := &request{id: r.Header.Get(HeaderRequestID), key: s.keyOf(r), method: r.Method, shard: -1,
+		idempotency: r.Header.Get(HeaderIdempotency), bodyHash: hex.EncodeToString(sum[:]),
+		crash: r.Header.Get(s.cfg.CrashHeader) == "1", cancelled: make(chan struct{})}
+	if req.fence, err = uintHeader(r, HeaderFence); err != nil {
+		return nil, err
+	}
+	if req.epoch, err = uintHeader(r, HeaderDispatchEpoch); err != nil {
+		return nil, err
+	}
+	if text := r.Header.Get(HeaderShard); text != "" {
+		if req.shard, err = strconv.Atoi(text); err != nil {
+			return nil, err
+		}
+	}
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil {
+			return nil, err
+		}
+		req.deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	padding, err := uintHeader(r, HeaderAnswerBytes)
+	req.padding = int(min(padding, maxPaddingBytes))
+	return req, err
+}
+
+func uintHeader(r *http.Request, name string) (uint64, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
+func (s *Server) keyOf(r *http.Request) string {
+	rule := inventory.Rule{KeyHeader: s.cfg.KeyHeader, KeyTemplate: s.cfg.KeyTemplate}
+	if key, ok := rule.Key(r.URL.Path, r.Header.Get(s.cfg.KeyHeader)); ok {
+		return key
+	}
+	return r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]
+}
+
+func (r *request) isRead() bool { return r.method == http.MethodGet || r.method == http.MethodHead }
+
+func (r *request) late(now time.Time) bool { return !r.deadline.IsZero() && !now.Before(r.deadline) }
+
+// phase is how far a request has come when its ownership is checked.
+type phase int
+
+const (
+	beforeStart phase = iota
+	beforeEffect
+)
+
+// ownership returns why the target must not run a request, or "". A request
+// that runs keeps a shard that was left out, until the lease ends.
+func (s *Server) ownership(req *request, at phase) string {
+	if !s.cfg.ChecksFences {
+		return ""
+	}
+	g := &req.boot.grants
+	if at == beforeStart {
+		if req.epoch < g.epoch {
+			return NotRunFence
+		}
+		g.epoch = req.epoch
+	}
+	if s.cfg.Ownership == inventory.OwnershipPool {
+		return ""
+	}
+	g.settle(s.cfg.Clock())
+	h := g.held[req.shard]
+	switch {
+	case h == nil, h.leaving && at == beforeStart:
+		return NotRunNotOwner
+	case h.fence != req.fence:
+		return NotRunFence
+	}
+	return ""
+}
