--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -20,6 +20,7 @@
 	Counter uint64 `json:"counter"` // writes of the key, this one included
 	SHA256  string `json:"sha256"`  // of the request body, in hexadecimal
 	Method  string `json:"method"`
+	Tag     string `json:"tag,omitempty"` // HeaderTag of the request
 	Padding string `json:"padding,omitempty"`
 }
 
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -24,6 +24,7 @@
 	HeaderTarget        = "X-Target"
 	HeaderBootID        = "X-Boot-Id"
 	HeaderAnswerBytes   = "X-Answer-Bytes" // size of the padding of the answer
+	HeaderTag           = "X-Tag"          // is returned in the answer, which tells answers apart
 )
 
 // Reasons in HeaderNotRun. The design page names the first four.
@@ -43,18 +44,18 @@
 
 // request is one request between its arrival and its answer.
 type request struct {
-	id, key, method, idempotency string
-	shard                        int // -1 when the header is missing
-	fence, epoch                 uint64
-	deadline                     time.Time // zero means none
-	padding                      int
-	crash                        bool
-	bodyHash                     string
-	boot                         *boot
-	start                        time.Time
-	started                      bool          // counted as running
-	cancelled                    chan struct{} // closed by a cancellation
-	isCancelled                  bool
+	id, key, method, idempotency, tag string
+	shard                             int // -1 when the header is missing
+	fence, epoch                      uint64
+	deadline                          time.Time // zero means none
+	padding                           int
+	crash                             bool
+	bodyHash                          string
+	boot                              *boot
+	start                             time.Time
+	started                           bool          // counted as running
+	cancelled                         chan struct{} // closed by a cancellation
+	isCancelled                       bool
 }
 
 func (s *Server) parse(r *http.Request) (*request, error) {
@@ -64,7 +65,7 @@
 	}
 	sum := sha256.Sum256(body)
 	req := &request{id: r.Header.Get(HeaderRequestID), key: s.keyOf(r), method: r.Method, shard: -1,
-		idempotency: r.Header.Get(HeaderIdempotency), bodyHash: hex.EncodeToString(sum[:]),
+		idempotency: r.Header.Get(HeaderIdempotency), tag: r.Header.Get(HeaderTag), bodyHash: hex.EncodeToString(sum[:]),
 		crash: r.Header.Get(s.cfg.CrashHeader) == "1", cancelled: make(chan struct{})}
 	if req.fence, err = uintHeader(r, HeaderFence); err != nil {
 		return nil, err
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -234,5 +234,5 @@
 		s.cfg.OnExecution(e)
 	}
 	return &outcome{answer: &Answer{Target: s.cfg.Name, BootID: b.id, Key: req.key, Counter: s.counters[req.key],
-		SHA256: req.bodyHash, Method: req.method}}
+		SHA256: req.bodyHash, Method: req.method, Tag: req.tag}}
 }
