--- a/cmd/mangogate/main.go
+++ b/cmd/mangogate/main.go
@@ -1,4 +1,42 @@
-// Command mangogate is not built yet.
+// Command mangogate routes requests of callers to the targets that own their keys.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/mangogate/mangogate/core/jsonc"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2 // settings or arguments are wrong; nothing was started
+)
+
+func main() {
+	app := &cli.Command{
+		Name:     "mangogate",
+		Usage:    "route requests to the servers that own their keys",
+		Commands: []*cli.Command{serveCommand(), demoCommand()},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	var problems jsonc.Problems
+	var coder cli.ExitCoder
+	switch {
+	case errors.As(err, &problems):
+		return exitUsage
+	case errors.As(err, &coder):
+		return coder.ExitCode()
+	}
+	return exitFailure
+}
--- a/core/control/record.go
+++ b/core/control/record.go
@@ -91,6 +91,9 @@
 	Term   uint64            `json:"term"`
 	Base   uint64            `json:"base"` // offset of the last accepted AssignmentChange
 	Shards []ShardAssignment `json:"shards"`
+	// Published says that a dispatch map may be in use from now on. Before the
+	// first such record no write can have run.
+	Published bool `json:"published,omitempty"`
 }
 
 // MaxRecordBytes is the largest record that readers accept.
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -28,6 +28,7 @@
 	Manager         string             `json:"manager"`
 	Assignments     []ShardAssignment  `json:"assignments,omitempty"`
 	AssignVersion   uint64             `json:"assign_version"`
+	Published       bool               `json:"published,omitempty"`
 	Writers         []SnapshotWriter   `json:"writers,omitempty"`
 }
 
@@ -57,6 +58,7 @@
 		MembersVersion:  s.membersVersion,
 		Term:            s.term,
 		Manager:         s.manager,
+		Published:       s.published,
 	}
 	for key, d := range s.drains {
 		snap.Drains = append(snap.Drains, SnapshotDrain{key, d})
@@ -80,7 +82,7 @@
 	s.next = snap.Next
 	s.documentVersion, s.documentAuthor, s.configVersion = snap.DocumentVersion, snap.DocumentAuthor, snap.ConfigVersion
 	s.membersVersion, s.assignVersion = snap.MembersVersion, snap.AssignVersion
-	s.term, s.manager = snap.Term, snap.Manager
+	s.term, s.manager, s.published = snap.Term, snap.Manager, snap.Published
 	if snap.Format != snapshotFormat {
 		return nil, errors.Errorf("restore snapshot: format %d, not %d", snap.Format, snapshotFormat)
 	}
--- a/core/control/state.go
+++ b/core/control/state.go
@@ -67,6 +67,7 @@
 	manager         string
 	assignments     map[ShardKey]ShardAssignment
 	assignVersion   uint64
+	published       bool
 	writers         map[string]writerMark
 }
 
@@ -218,6 +219,7 @@
 		s.assignments[ShardKey{a.Service, a.Shard}] = a
 	}
 	s.assignVersion = version(offset)
+	s.published = s.published || c.Published
 	return Verdict{Accepted: true}
 }
 
--- a/node/callers/answer.go
+++ b/node/callers/answer.go
@@ -48,12 +48,14 @@
 	}
 	h := w.Header()
 	for name, values := range r.Header {
-		if !strings.HasPrefix(http.CanonicalHeaderKey(name), ownHeaderPrefix) {
-			h[http.CanonicalHeaderKey(name)] = values
+		if name = http.CanonicalHeaderKey(name); name != "Connection" && !strings.HasPrefix(name, ownHeaderPrefix) {
+			h[name] = values
 		}
 	}
 	for _, name := range hopHeaders {
-		h.Del(name)
+		if name != "Connection" { // set by this VM only, when it is stopping
+			h.Del(name)
+		}
 	}
 	h.Set(HeaderOutcome, outcomeName(r.Outcome))
 	if h.Get("Content-Length") == "" && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
--- a/node/callers/callers.go
+++ b/node/callers/callers.go
@@ -42,6 +42,7 @@
 	replica  *replica.Replica
 
 	slots   chan struct{} // one for each request in progress
+	closing atomic.Bool
 	nextID  atomic.Uint64
 	server  *http.Server
 	addr    net.Addr
@@ -98,6 +99,10 @@
 	return nil
 }
 
+// CloseAfterAnswer closes each connection after its next answer, so that
+// callers move to other VMs before the listener ends.
+func (l *Listener) CloseAfterAnswer() { l.closing.Store(true) }
+
 // Addr returns the address that callers reach.
 func (l *Listener) Addr() net.Addr { return l.addr }
 
@@ -109,6 +114,9 @@
 // ServeHTTP answers one caller.
 func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if l.closing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	select {
 	case l.slots <- struct{}{}:
 		defer func() { <-l.slots }()
@@ -117,6 +125,11 @@
 			fmt.Sprintf("This VM serves its limit of %d requests at once.", l.cfg.MaxConcurrent)})
 		return
 	}
+	if !l.configured() {
+		l.refuse(w, &refusal{http.StatusServiceUnavailable, dispatch.ReasonUnavailable,
+			"This VM has not read its configuration yet."})
+		return
+	}
 	service, req, refused := l.prepare(w, r)
 	if refused != nil {
 		l.refuse(w, refused)
@@ -133,6 +146,14 @@
 	writeRefusal(w, r.status, dispatch.NotRun(r.reason, r.message))
 }
 
+func (l *Listener) configured() (ok bool) {
+	l.replica.View(func(st *control.State) {
+		_, version := st.Document()
+		ok = version > 0
+	})
+	return ok
+}
+
 // match returns the rule and service of a path, and false when there is none.
 func (l *Listener) match(path string) (rule inventory.Rule, service inventory.Service, ok bool) {
 	l.replica.View(func(st *control.State) {
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -237,6 +237,17 @@
 	return len(g.running) > 0, shards
 }
 
+// InFlight returns the number of requests that are at targets.
+func (s *Service) InFlight() int {
+	n := 0
+	for _, g := range s.allGroups() {
+		g.mu.Lock()
+		n += len(g.running)
+		g.mu.Unlock()
+	}
+	return n
+}
+
 // Cancel withdraws a request.
 func (s *Service) Cancel(id string) {
 	s.mu.Lock()
--- a/node/ledger/book.go
+++ b/node/ledger/book.go
@@ -63,7 +63,7 @@
 		return false, 0
 	}
 	if !wasKeeper {
-		b.table.Promote(g.Epoch)
+		b.table.Promote(now, g.Epoch)
 		b.attempts = map[string]attempt{}
 		b.unknownUntil = time.UnixMilli(g.UnknownUntilMS)
 	}
@@ -104,6 +104,15 @@
 	}
 }
 
+func (b *book) entry(key string) (dedupe.Entry, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, ok := b.table.Lookup(key)
+	// The copies of a later epoch refuse entries of an earlier one.
+	e.Epoch = max(e.Epoch, b.epoch)
+	return e, ok
+}
+
 // currentCopies returns the copies and the epoch under which intents go to them.
 func (b *book) currentCopies() (copies []string, epoch uint64, keeper bool) {
 	b.mu.Lock()
--- a/node/ledger/copies.go
+++ b/node/ledger/copies.go
@@ -9,7 +9,10 @@
 	"github.com/pkg/errors"
 )
 
-var errNotCopied = errors.New("the copy holder did not store the entry")
+var (
+	errNotCopied  = errors.New("the copy holder did not store the entry")
+	errMayHaveRun = errors.New("the copy holder knows of an earlier attempt")
+)
 
 // syncCopies makes every copy complete at the group's epoch.
 func (l *Ledger) syncCopies(b *book, g shardmap.Group, previous uint64) {
@@ -107,12 +110,20 @@
 	for _, e := range args.Entries {
 		e.ChangedAt = now // the keeper's clock means nothing here
 		switch b.table.Copy(now, e) {
+		case dedupe.Run, dedupe.Incomplete:
+			// An incomplete copy stores the entry; it is never chosen as the
+			// next keeper before it is complete.
 		case dedupe.OldEpoch:
 			reply.OldEpoch = true
 		case dedupe.Full:
 			reply.Full = true
+		default:
+			reply.MayHaveRun = true
 		}
 	}
+	for _, w := range args.Withdraw {
+		b.table.Withdraw(w.Key, args.Epoch, w.Attempt)
+	}
 	return nil
 }
 
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -18,6 +18,7 @@
 	"github.com/mangogate/mangogate/node/mapstore"
 	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/timeline"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 )
@@ -239,6 +240,8 @@
 		return BeginReply{Decision: Full}, nil
 	case dedupe.OldEpoch:
 		return BeginReply{Decision: Moved}, nil
+	case dedupe.Ran:
+		return BeginReply{Decision: Ran}, nil
 	}
 	l.unknowns.Inc(1)
 	return BeginReply{Decision: Unknown}, nil
@@ -254,13 +257,21 @@
 		if !keeper {
 			break
 		}
-		entry := dedupe.Entry{Key: args.Key, Fingerprint: args.Fingerprint, Epoch: epoch, Phase: dedupe.PhaseIntent}
-		if l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}}) {
+		entry, known := b.entry(args.Key)
+		if !known {
+			break // the attempt expired
+		}
+		err := l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}})
+		if err == nil {
 			if after, e, k := b.currentCopies(); k && e == epoch && slices.Equal(after, copies) {
 				return BeginReply{Decision: Run}
 			}
 			continue // the copies changed: the new ones have to know too
 		}
+		if errors.Is(err, errMayHaveRun) {
+			l.finish(FinishArgs{Group: b.group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeUnknown})
+			return BeginReply{Decision: Unknown}
+		}
 		select {
 		case <-time.After(copyRetry):
 		case <-ctx.Done():
@@ -272,11 +283,11 @@
 	return BeginReply{Decision: Moved}
 }
 
-// copyToAll returns true when every copy has stored the entries.
-func (l *Ledger) copyToAll(ctx context.Context, copies []string, args CopyArgs) bool {
+// copyToAll returns nil when every copy has stored the entries.
+func (l *Ledger) copyToAll(ctx context.Context, copies []string, args CopyArgs) error {
 	m := l.maps.Current()
 	if m == nil {
-		return false
+		return errNotCopied
 	}
 	args.Stamp = l.events.Now()
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
@@ -289,13 +300,16 @@
 			if err := l.peers.Call(ctx, address, "Ledger.Copy", &args, &reply); err != nil {
 				return err
 			}
-			if reply.OldEpoch || reply.Full {
+			switch {
+			case reply.MayHaveRun:
+				return errMayHaveRun
+			case reply.OldEpoch || reply.Full:
 				return errNotCopied
 			}
 			return nil
 		})
 	}
-	return group.Wait() == nil
+	return group.Wait()
 }
 
 // Finish ends an attempt, here or at the VM that keeps the group. Towards
@@ -325,34 +339,39 @@
 		return // a late message of an earlier attempt must not end this one
 	}
 	now := l.clock.Now()
-	entry := dedupe.Entry{Key: args.Key, Epoch: b.epoch}
+	entry, known := b.table.Lookup(args.Key)
+	if !known {
+		return
+	}
+	copied := CopyArgs{Group: b.group, Epoch: b.epoch}
 	switch {
 	case args.Outcome == OutcomeDone && args.Answer != nil:
 		b.table.Complete(now, args.Key, *args.Answer)
-		entry.Phase, entry.Answer = dedupe.PhaseDone, args.Answer
 	case !open:
 		return
 	case args.Outcome == OutcomeNotRun:
 		b.table.Fail(now, args.Key, true)
-		b.settle(args.Key)
-		return
+		copied.Withdraw = []Withdrawal{{Key: args.Key, Attempt: entry.Attempt}}
 	default:
 		b.table.Fail(now, args.Key, false)
-		entry.Phase = dedupe.PhaseUnknown
+	}
+	if entry, known = b.table.Lookup(args.Key); known {
+		entry.Epoch = max(entry.Epoch, b.epoch)
+		copied.Entries = []dedupe.Entry{entry}
 	}
 	if open {
 		b.settle(args.Key)
 	}
 	if b.keeper && len(b.copies) > 0 {
 		b.pending++
-		go l.copyOutcome(b, b.copies, CopyArgs{Group: b.group, Epoch: b.epoch, Entries: []dedupe.Entry{entry}})
+		go l.copyOutcome(b, b.copies, copied)
 	}
 }
 
 // copyOutcome is tried once: a copy without the outcome answers "unknown",
 // which is true.
 func (l *Ledger) copyOutcome(b *book, copies []string, args CopyArgs) {
-	l.copyToAll(l.ctx, copies, args)
+	_ = l.copyToAll(l.ctx, copies, args)
 	b.mu.Lock()
 	b.pending--
 	b.mu.Unlock()
--- a/node/ledger/messages.go
+++ b/node/ledger/messages.go
@@ -62,12 +62,22 @@
 	Group   string
 	Epoch   uint64
 	Entries []dedupe.Entry
+	// Withdraw lists intents of writes that provably did not run.
+	Withdraw []Withdrawal
+}
+
+// Withdrawal identifies an intent.
+type Withdrawal struct {
+	Key     string
+	Attempt uint64
 }
 
 // CopyReply answers CopyArgs.
 type CopyReply struct {
 	OldEpoch bool // a newer dispatcher is known
 	Full     bool
+	// MayHaveRun says that the copy knows of an earlier attempt that may have run.
+	MayHaveRun bool
 }
 
 // ImportArgs makes a copy complete at an epoch. Without Full it holds no
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -65,6 +65,7 @@
 		blocked: map[control.ShardKey]blockedShard{}, groups: map[string]*groupState{},
 	}
 	t.table = lease.NewTable(lease.DefaultConfig(), t.started)
+	m.replica.View(func(st *control.State) { t.fresh = !st.Published() })
 	t.openTerm()
 	return t
 }
@@ -98,6 +99,12 @@
 	t.m.events.Record(timeline.Event{Kind: "term.opened", Term: t.term})
 }
 
+// published tells whether the log says that a map may be in use.
+func (t *tenure) published() (ok bool) {
+	t.m.replica.View(func(st *control.State) { ok = st.Published() })
+	return ok
+}
+
 // acting tells whether this VM still acts in this term. It is asked
 // immediately before each effect.
 func (t *tenure) acting() bool {
--- /dev/null
+++ b/node/vm/vm.go
@@ -0,0 +1,165 @@
+// Package vm assembles the modules of one VM and starts and stops them.
+package vm
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/node/admin"
+	"github.com/mangogate/mangogate/node/callers"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/dispatch"
+	"github.com/mangogate/mangogate/node/kernel"
+	"github.com/mangogate/mangogate/node/ledger"
+	"github.com/mangogate/mangogate/node/logclient"
+	"github.com/mangogate/mangogate/node/manager"
+	"github.com/mangogate/mangogate/node/mapstore"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/replica"
+	"github.com/mangogate/mangogate/node/resolver"
+	"github.com/mangogate/mangogate/node/settings"
+	"github.com/mangogate/mangogate/node/targets"
+	"github.com/mangogate/mangogate/node/timeline"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	bootIDBytes = 6
+	// snapshotEvery is the number of log records after which the manager
+	// writes a snapshot.
+	snapshotEvery = 1000
+	handoverPoll  = 20 * time.Millisecond
+)
+
+// VM is one VM's process.
+type VM struct {
+	settings *settings.Settings
+	logger   hclog.Logger
+	kernel   *kernel.Kernel
+	admin    *admin.Admin
+	callers  *callers.Listener
+	dispatch *dispatch.Service
+	maps     *mapstore.Store
+	registry metrics.Registry
+}
+
+// secrets are read from files once, at start.
+type secrets struct{ peerKey, operatorToken []byte }
+
+// New assembles a VM from valid settings.
+func New(s *settings.Settings, logger hclog.Logger) (*VM, error) {
+	boot := make([]byte, bootIDBytes)
+	if _, err := rand.Read(boot); err != nil {
+		return nil, errors.Wrap(err, "create boot id")
+	}
+	secret, err := readSecrets(s)
+	if err != nil {
+		return nil, err
+	}
+	v := &VM{settings: s, logger: logger, kernel: kernel.New(), registry: metrics.NewRegistry()}
+	return v, v.assemble(hex.EncodeToString(boot), secret)
+}
+
+func readSecrets(s *settings.Settings) (secrets, error) {
+	key, err := settings.ReadSecret(s.Peers.KeyFile)
+	if err != nil {
+		return secrets{}, errors.Wrap(err, "peers.key_file")
+	}
+	token, err := settings.ReadSecret(s.Operators.TokenFile)
+	return secrets{peerKey: key, operatorToken: token}, errors.Wrap(err, "operators.token_file")
+}
+
+// assemble registers the modules in the order in which they start. They stop
+// in the reverse order: callers first, peers last.
+func (v *VM) assemble(boot string, secret secrets) error {
+	s, log := v.settings, v.logger
+	tlsConfigs, err := loadTLS(s)
+	if err != nil {
+		return err
+	}
+	c, events := clock.New(), timeline.New(s.VM)
+	platform := logclient.New(logclient.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
+	v.maps = mapstore.New(c, events, log.Named("map"), boot)
+	v.dispatch = dispatch.New(s.VM, c, events, log.Named("dispatch"), v.registry)
+	v.callers = callers.New(s.VM, boot, s.Callers, tlsConfigs.callers, log.Named("callers"), v.registry)
+	v.admin = admin.New(admin.Config{
+		VM: s.VM, DataCentre: s.DataCentre, Listen: s.Operators.Listen, Token: secret.operatorToken, TLS: tlsConfigs.operators,
+	}, events, platform, log.Named("operators"), v.registry)
+	return v.kernel.Register(
+		peer.NewServer(s.Peers.Listen, secret.peerKey, tlsConfigs.peerServer, log.Named("peer"), v.registry),
+		peer.NewClient(secret.peerKey, tlsConfigs.peerClient, v.registry),
+		replica.New(replica.Config{
+			Log: platform, Writer: s.VM + "-" + boot, Logger: log.Named("replica"), Metrics: v.registry, SnapshotEvery: snapshotEvery,
+		}),
+		v.maps,
+		targets.New(tlsConfigs.targets, v.registry),
+		ledger.New(s.VM, c, events, log.Named("ledger"), v.registry),
+		v.dispatch,
+		resolver.New(s.VM, c, events, v.registry),
+		manager.New(manager.Config{
+			VM: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers.Listen, Members: s.Members,
+		}, c, events, platform, log.Named("manager"), v.registry),
+		v.admin,
+		v.callers,
+	)
+}
+
+// Start starts all modules.
+func (v *VM) Start(ctx context.Context) error { return v.kernel.Start(ctx) }
+
+// CallerAddr returns the address of the listener for callers.
+func (v *VM) CallerAddr() net.Addr { return v.callers.Addr() }
+
+// OperatorAddr returns the address of the listener for operators.
+func (v *VM) OperatorAddr() net.Addr { return v.admin.Addr() }
+
+// Stop is a planned stop: the VM leaves the load balancer, hands over what it
+// dispatches, finishes what is in flight and ends.
+func (v *VM) Stop(ctx context.Context) error {
+	v.admin.Leave()
+	v.callers.CloseAfterAnswer()
+	ctx, cancel := context.WithTimeout(ctx, v.settings.Shutdown.LeaveBalancer.Std()+v.settings.Shutdown.Finish.Std())
+	defer cancel()
+	sleep(ctx, v.settings.Shutdown.LeaveBalancer.Std())
+	for ctx.Err() == nil && v.dispatches() {
+		sleep(ctx, handoverPoll)
+	}
+	for ctx.Err() == nil && v.dispatch.InFlight() > 0 {
+		sleep(ctx, handoverPoll)
+	}
+	return v.kernel.Stop(ctx)
+}
+
+// Abort closes the VM's listeners without a hand-over, as a crash would.
+func (v *VM) Abort() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = v.kernel.Stop(ctx) // what was in flight is cut off on purpose
+}
+
+// dispatches tells whether the map in force still names this VM. A VM whose
+// lease has ended hands nothing over: nobody renews its map.
+func (v *VM) dispatches() bool {
+	m := v.maps.Current()
+	if m == nil || !v.maps.Permitted() {
+		return false
+	}
+	for _, g := range m.Groups {
+		if g.Dispatcher == v.settings.VM {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,346 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/standin/faultproxy"
+	"github.com/pkg/errors"
+)
+
+// Service describes one service of a deployment.
+type Service struct {
+	Name         string
+	Ownership    inventory.Ownership
+	Shards       int // for key ownership
+	Targets      int
+	ChecksFences bool
+	// TargetArgs are further flags of the target program.
+	TargetArgs []string
+}
+
+// Config describes a deployment.
+type Config struct {
+	Dir         string // for settings and logs
+	Binaries    Binaries
+	DataCentres []string
+	VMs         int
+	Services    []Service
+	// Proxied puts a fault-injecting proxy in front of every VM's peer
+	// listener, every target and every VM's view of the platform.
+	Proxied      bool
+	PlatformArgs []string
+	LogLevel     string // empty means info
+}
+
+// VM is one VM of the deployment.
+type VM struct {
+	*Process
+	DataCentre string
+	Callers    string // address for callers
+	Operators  string
+	Peers      string // address that other VMs use
+	// PeerProxy is in front of the peer listener, PlatformProxy between this
+	// VM and the platform. Nil without Config.Proxied.
+	PeerProxy     *faultproxy.Proxy
+	PlatformProxy *faultproxy.Proxy
+	listed        bool
+}
+
+// Target is one target of the deployment.
+type Target struct {
+	*Process
+	Service    string
+	DataCentre string
+	Address    string            // that VMs use
+	Direct     string            // of the process itself
+	Proxy      *faultproxy.Proxy // nil without Config.Proxied
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	cfg      Config
+	Platform *Process
+	// PlatformAddress is that of the platform's process itself.
+	PlatformAddress string
+	VMs             []*VM
+	Targets         []*Target
+	Document        inventory.Document
+	token           string
+	proxies         []*faultproxy.Proxy
+}
+
+const (
+	targetConnections = 100
+	targetSlots       = 3
+	secretBytes       = "cluster-secret-0123456789"
+)
+
+// Start starts the platform, the targets and the VMs, and publishes the document.
+func Start(ctx context.Context, cfg Config) (*Cluster, error) {
+	c := &Cluster{cfg: cfg, token: secretBytes}
+	for _, step := range []func(context.Context) error{c.startPlatform, c.startTargets, c.startVMs, c.publish} {
+		if err := step(ctx); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// Close ends all processes and proxies.
+func (c *Cluster) Close() {
+	for _, p := range c.processes() {
+		if p.cmd != nil {
+			_ = p.Kill() // it may have ended
+		}
+	}
+	for _, p := range c.proxies {
+		_ = p.Close() // nothing is left to deliver
+	}
+}
+
+func (c *Cluster) processes() []*Process {
+	var all []*Process
+	for _, v := range c.VMs {
+		all = append(all, v.Process)
+	}
+	for _, t := range c.Targets {
+		all = append(all, t.Process)
+	}
+	if c.Platform != nil {
+		all = append(all, c.Platform)
+	}
+	return all
+}
+
+func (c *Cluster) process(name, bin string, args ...string) *Process {
+	return &Process{Name: name, bin: bin, args: args, log: filepath.Join(c.cfg.Dir, name+".log")}
+}
+
+func (c *Cluster) proxy(upstream string) (*faultproxy.Proxy, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	p, err := faultproxy.New(faultproxy.Config{Listen: address, Upstream: upstream})
+	if err != nil {
+		return nil, err
+	}
+	c.proxies = append(c.proxies, p)
+	return p, nil
+}
+
+// listening takes the address from "listening on ADDR".
+func listening(line string) (string, error) {
+	_, address, ok := strings.Cut(line, "listening on ")
+	if !ok {
+		return "", errors.Errorf("unexpected first line %q", line)
+	}
+	return strings.TrimSpace(address), nil
+}
+
+func (c *Cluster) startPlatform(context.Context) error {
+	c.Platform = c.process("platform", c.cfg.Binaries.Standin, append([]string{"platform"}, c.cfg.PlatformArgs...)...)
+	line, err := c.Platform.start()
+	if err != nil {
+		return err
+	}
+	c.PlatformAddress, err = listening(line)
+	return err
+}
+
+func (c *Cluster) startTargets(context.Context) error {
+	c.Document = inventory.Document{Deployment: "test"}
+	for _, dc := range c.cfg.DataCentres {
+		c.Document.DataCentres = append(c.Document.DataCentres, inventory.DataCentre{Name: dc})
+	}
+	for _, s := range c.cfg.Services {
+		c.Document.Services = append(c.Document.Services, inventory.Service{
+			Name: s.Name, Ownership: s.Ownership, Shards: s.Shards, ChecksFences: s.ChecksFences,
+		})
+		c.Document.Rules = append(c.Document.Rules, inventory.Rule{
+			PathPrefix: "/" + s.Name + "/", Service: s.Name, KeyTemplate: "/" + s.Name + "/{key}",
+		})
+		for i := range s.Targets {
+			if err := c.startTarget(s, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startTarget(s Service, i int) error {
+	name := fmt.Sprintf("%s-%d", s.Name, i)
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	args := []string{
+		"target", "--listen", address, "--name", name, "--service", s.Name, "--ownership", string(s.Ownership),
+		"--key-template", "/" + s.Name + "/{key}", "--slots", fmt.Sprint(targetSlots),
+	}
+	if s.ChecksFences {
+		args = append(args, "--checks-fences")
+	}
+	t := &Target{
+		Process: c.process(name, c.cfg.Binaries.Standin, append(args, s.TargetArgs...)...),
+		Service: s.Name, DataCentre: c.cfg.DataCentres[i%len(c.cfg.DataCentres)], Direct: address, Address: address,
+	}
+	if _, err := t.start(); err != nil {
+		return err
+	}
+	if c.cfg.Proxied {
+		if t.Proxy, err = c.proxy(address); err != nil {
+			return err
+		}
+		t.Address = t.Proxy.Addr()
+	}
+	c.Targets = append(c.Targets, t)
+	c.Document.Targets = append(c.Document.Targets, inventory.Target{
+		Name: name, Service: s.Name, DataCentre: t.DataCentre, Address: t.Address, Slots: targetSlots, Connections: targetConnections,
+	})
+	return nil
+}
+
+// Restart starts a target's process again at the same address.
+func (t *Target) Restart() error {
+	_, err := t.start()
+	return err
+}
+
+// Ports below the range that Linux takes for outgoing connections, so that a
+// process that restarts finds its port free.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort = atomic.Int64{}
+
+func init() { nextPort.Store(int64(rand.IntN(lastPort - firstPort))) }
+
+// freeAddress returns a loopback address that was free just now.
+func freeAddress() (string, error) {
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
+	}
+	return "", errors.New("no port is free")
+}
+
+func (c *Cluster) startVMs(ctx context.Context) error {
+	secret := filepath.Join(c.cfg.Dir, "secret")
+	if err := os.WriteFile(secret, []byte(secretBytes), 0o600); err != nil {
+		return errors.Wrap(err, "write secret")
+	}
+	for i := range c.cfg.VMs {
+		if _, err := c.AddVM(ctx, fmt.Sprintf("vm-%d", i), c.cfg.DataCentres[i%len(c.cfg.DataCentres)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// AddVM starts a new VM and puts it on the platform's list.
+func (c *Cluster) AddVM(ctx context.Context, name, dataCentre string) (*VM, error) {
+	v := &VM{DataCentre: dataCentre}
+	own, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	platform := c.PlatformAddress
+	v.Peers = own
+	if c.cfg.Proxied {
+		if v.PeerProxy, err = c.proxy(own); err != nil {
+			return nil, err
+		}
+		if v.PlatformProxy, err = c.proxy(platform); err != nil {
+			return nil, err
+		}
+		v.Peers, platform = v.PeerProxy.Addr(), v.PlatformProxy.Addr()
+	}
+	if v.Callers, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if v.Operators, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	path, err := c.writeSettings(name, v, own, platform)
+	if err != nil {
+		return nil, err
+	}
+	v.Process = c.process(name, c.cfg.Binaries.Mangogate, "serve", "--settings", path)
+	if _, err := v.start(); err != nil {
+		return nil, err
+	}
+	c.VMs = append(c.VMs, v)
+	return v, c.List(ctx, v, "live")
+}
+
+// Restart starts a VM's process again under the same name and addresses.
+func (v *VM) Restart() error {
+	_, err := v.start()
+	return err
+}
+
+func (c *Cluster) writeSettings(name string, v *VM, peers, platform string) (string, error) {
+	secret := filepath.Join(c.cfg.Dir, "secret")
+	level := c.cfg.LogLevel
+	if level == "" {
+		level = "info"
+	}
+	settings := map[string]any{
+		"vm": name, "data_centre": v.DataCentre, "members": c.cfg.VMs, "log_level": level,
+		"callers":   map[string]any{"listen": v.Callers},
+		"peers":     map[string]any{"listen": peers, "key_file": secret},
+		"operators": map[string]any{"listen": v.Operators, "token_file": secret},
+		"platform":  map[string]any{"url": "http://" + platform, "timeout": "1s"},
+		"shutdown":  map[string]any{"leave_balancer": "300ms", "finish": "20s"},
+	}
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return "", errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(c.cfg.Dir, name+".json")
+	return path, errors.Wrap(os.WriteFile(path, data, 0o600), "write settings")
+}
+
+// Entries returns the addresses for callers of the VMs that run.
+func (c *Cluster) Entries() []string {
+	var out []string
+	for _, v := range c.VMs {
+		if v.Alive() {
+			out = append(out, v.Callers)
+		}
+	}
+	return out
+}
+
+// Wait repeats a check until it returns nil or the time is over; the last
+// error is returned.
+func Wait(timeout time.Duration, check func() error) error {
+	deadline := time.Now().Add(timeout)
+	for {
+		err := check()
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/standin/cluster/control.go
@@ -0,0 +1,196 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/node/admin"
+	"github.com/mangogate/mangogate/node/timeline"
+	"github.com/mangogate/mangogate/standin/target"
+	"github.com/pkg/errors"
+)
+
+const readyTimeout = 30 * time.Second
+
+var httpClient = &http.Client{Timeout: 12 * time.Second}
+
+// call sends JSON and decodes the JSON answer of status 200 or, for a change,
+// any status with a body of the wanted type.
+func call(ctx context.Context, method, url, token string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return 0, err
+	}
+	if token != "" {
+		req.Header.Set("Authorization", "Bearer "+token)
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err
+	}
+	if out != nil {
+		if err := json.Unmarshal(data, out); err != nil {
+			return resp.StatusCode, errors.Wrapf(err, "%s %s: %s", method, url, data)
+		}
+	}
+	return resp.StatusCode, nil
+}
+
+// List sets a VM's state in the platform's list.
+func (c *Cluster) List(ctx context.Context, v *VM, state string) error {
+	entry := map[string]string{"id": v.Name, "data_centre": v.DataCentre, "peer_address": v.Peers, "state": state}
+	status, err := call(ctx, http.MethodPost, "http://"+c.PlatformAddress+"/v1/vms", "", entry, nil)
+	if err == nil && status/100 != 2 {
+		err = errors.Errorf("status %d", status)
+	}
+	return errors.Wrapf(err, "list %s as %s", v.Name, state)
+}
+
+// PlatformFaults sets the faults of the platform.
+func (c *Cluster) PlatformFaults(ctx context.Context, faults map[string]any) error {
+	status, err := call(ctx, http.MethodPost, "http://"+c.PlatformAddress+"/v1/faults", "", faults, nil)
+	if err == nil && status/100 != 2 {
+		err = errors.Errorf("status %d", status)
+	}
+	return errors.Wrap(err, "set platform faults")
+}
+
+// TargetFaults sets the faults of a target.
+func (c *Cluster) TargetFaults(ctx context.Context, t *Target, faults map[string]any) error {
+	status, err := call(ctx, http.MethodPost, "http://"+t.Direct+"/mangogate/faults", "", faults, nil)
+	if err == nil && status/100 != 2 {
+		err = errors.Errorf("status %d", status)
+	}
+	return errors.Wrapf(err, "set faults of %s", t.Name)
+}
+
+// Ledger returns what a target executed since its start.
+func (c *Cluster) Ledger(ctx context.Context, t *Target) (target.Ledger, error) {
+	var l target.Ledger
+	_, err := call(ctx, http.MethodGet, "http://"+t.Direct+"/mangogate/ledger", "", nil, &l)
+	return l, errors.Wrapf(err, "ledger of %s", t.Name)
+}
+
+// Operator calls the operators' interface of a VM.
+func (c *Cluster) Operator(ctx context.Context, v *VM, method, path string, in, out any) (int, error) {
+	status, err := call(ctx, method, "http://"+v.Operators+path, c.token, in, out)
+	return status, errors.Wrapf(err, "%s %s at %s", method, path, v.Name)
+}
+
+// Status asks a VM for the state of all VMs.
+func (c *Cluster) Status(ctx context.Context, v *VM) (admin.ClusterStatus, error) {
+	var s admin.ClusterStatus
+	_, err := c.Operator(ctx, v, http.MethodGet, "/v1/status", nil, &s)
+	return s, err
+}
+
+// Timeline returns the events of all VMs in causal order.
+func (c *Cluster) Timeline(ctx context.Context, v *VM) ([]timeline.Event, error) {
+	var events []timeline.Event
+	_, err := c.Operator(ctx, v, http.MethodGet, "/events?all=1", nil, &events)
+	return events, err
+}
+
+// Owner asks a VM for the owner of a key.
+func (c *Cluster) Owner(ctx context.Context, v *VM, service, key string) (admin.OwnerReply, error) {
+	var replies []admin.OwnerReply
+	path := "/v1/owner?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
+	status, err := c.Operator(ctx, v, http.MethodGet, path, nil, &replies)
+	if err != nil {
+		return admin.OwnerReply{}, err
+	}
+	if status != http.StatusOK || len(replies) != 1 {
+		return admin.OwnerReply{}, errors.Errorf("owner of %q: status %d, %d replies", key, status, len(replies))
+	}
+	return replies[0], nil
+}
+
+// Apply publishes a document through a VM.
+func (c *Cluster) Apply(ctx context.Context, v *VM, doc inventory.Document) (admin.ChangeReply, error) {
+	var config admin.ConfigReply
+	if _, err := c.Operator(ctx, v, http.MethodGet, "/v1/config", nil, &config); err != nil {
+		return admin.ChangeReply{}, err
+	}
+	var reply admin.ChangeReply
+	_, err := c.Operator(ctx, v, http.MethodPost, "/v1/apply",
+		admin.ApplyRequest{Author: "test", Base: config.DocumentVersion, Document: doc}, &reply)
+	return reply, err
+}
+
+// Drain takes something out of service or back in, through a VM.
+func (c *Cluster) Drain(ctx context.Context, v *VM, req admin.DrainRequest) (admin.ChangeReply, error) {
+	var reply admin.ChangeReply
+	_, err := c.Operator(ctx, v, http.MethodPost, "/v1/drain", req, &reply)
+	return reply, err
+}
+
+func (c *Cluster) publish(ctx context.Context) error {
+	err := Wait(readyTimeout, func() error {
+		reply, err := c.Apply(ctx, c.VMs[0], c.Document)
+		if err == nil && reply.Result != admin.ResultAccepted && reply.Result != admin.ResultNoChange {
+			err = errors.Errorf("apply: %s %s", reply.Result, reply.Detail)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return c.WaitReady(ctx, readyTimeout)
+}
+
+// WaitReady waits until every running VM is ready and every shard has an owner.
+func (c *Cluster) WaitReady(ctx context.Context, timeout time.Duration) error {
+	return Wait(timeout, func() error {
+		for _, v := range c.VMs {
+			if !v.Alive() {
+				continue
+			}
+			if err := c.ready(ctx, v); err != nil {
+				return errors.Wrapf(err, "%s is not ready", v.Name)
+			}
+		}
+		return nil
+	})
+}
+
+func (c *Cluster) ready(ctx context.Context, v *VM) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Operators+"/ready", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if text, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+		return errors.Errorf("%s", text)
+	}
+	s, err := c.Status(ctx, v)
+	if err != nil {
+		return err
+	}
+	if s.Unassigned > 0 {
+		return errors.Errorf("%d shards have no owner", s.Unassigned)
+	}
+	return nil
+}
--- a/standin/target/grants.go
+++ b/standin/target/grants.go
@@ -17,12 +17,15 @@
 // Grant replaces the set of shards that the target holds. A grant without an
 // echo and without shards changes no shard: it asks for the clock and the holds.
 type Grant struct {
-	Term          uint64       `json:"term"`
-	Sequence      uint64       `json:"sequence"`
-	EchoMS        int64        `json:"echo_ms"` // the target's clock reading that the lease counts from
-	LeaseMS       int64        `json:"lease_ms"`
-	DispatchEpoch uint64       `json:"dispatch_epoch"`
-	Shards        []ShardFence `json:"shards"`
+	Term          uint64 `json:"term"`
+	Sequence      uint64 `json:"sequence"`
+	EchoMS        int64  `json:"echo_ms"` // the target's clock reading that the lease counts from
+	LeaseMS       int64  `json:"lease_ms"`
+	DispatchEpoch uint64 `json:"dispatch_epoch"`
+	// BootID is the boot in which the target read EchoMS. A target of another
+	// boot takes no shards, because it no longer knows what it had released.
+	BootID string       `json:"boot_id"`
+	Shards []ShardFence `json:"shards"`
 }
 
 // GrantReply is the answer to a grant. Busy lists the shards for which requests
@@ -74,7 +77,7 @@
 }
 
 // accept applies a grant, or returns the status and the reason of a refusal.
-func (g *grants) accept(now time.Duration, grant Grant) (int, string) {
+func (g *grants) accept(now time.Duration, bootID string, grant Grant) (int, string) {
 	switch {
 	case grant.Term < g.term:
 		return http.StatusConflict, "a higher term is known"
@@ -86,7 +89,7 @@
 	g.settle(now)
 	g.term, g.sequence = grant.Term, grant.Sequence
 	g.epoch = max(g.epoch, grant.DispatchEpoch)
-	if grant.EchoMS == 0 && len(grant.Shards) == 0 {
+	if grant.EchoMS == 0 && len(grant.Shards) == 0 || grant.BootID != "" && grant.BootID != bootID {
 		return http.StatusOK, ""
 	}
 	for _, h := range g.held {
@@ -122,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Clock()
-	status, refusal := s.boot.grants.accept(now, grant)
+	status, refusal := s.boot.grants.accept(now, s.boot.id, grant)
 	s.stats.Grants++
 	if refusal != "" {
 		s.stats.GrantsRefused++
