Give every inventory fault its line and decode keys from the path

Cause: a fault at an absent field had no line, nor had a syntax error. The key taken from a path kept its percent-encoding, so /fields/7 and /fields/%37 were two keys with possibly two owners. The prefix /fields matched /fieldsets.

Ruled out: decoding the whole path before it is split; a %2F inside a key would end the element, and a literal % would be decoded twice.

Change: an absent field is reported at the line of what should hold it, a syntax error at its own. Key takes the escaped path and decodes each element; an empty or wrongly escaped element is no key. Match compares whole elements.

Conclusion: callers have to pass URL.EscapedPath to Match and Key.

--- a/core/inventory/match.go
+++ b/core/inventory/match.go
@@ -1,17 +1,19 @@
 package inventory
 
 import (
+	"net/url"
 	"slices"
 	"strings"
 	"time"
 )
 
 // Match returns the rule with the longest prefix of path, and false when no
-// rule matches.
+// rule matches. Path elements are whole: the prefix /fields matches /fields and
+// /fields/7, but not /fieldsets. The path is escaped (URL.EscapedPath), as for Key.
 func (d *Document) Match(path string) (Rule, bool) {
 	best := -1
 	for i, r := range d.Rules {
-		if strings.HasPrefix(path, r.PathPrefix) && (best < 0 || len(r.PathPrefix) > len(d.Rules[best].PathPrefix)) {
+		if hasPrefix(path, r.PathPrefix) && (best < 0 || len(r.PathPrefix) > len(d.Rules[best].PathPrefix)) {
 			best = i
 		}
 	}
@@ -21,8 +23,16 @@
 	return d.Rules[best], true
 }
 
+func hasPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
+
 // Key returns the key of a request from its header value or, failing that,
-// from the path. It returns false when the rule asks for a key and there is none.
+// from the path. It returns false when the rule asks for a key and there is
+// none; an empty key is none. The path is escaped (URL.EscapedPath): a %2F
+// belongs to the key, and two spellings of a key, such as a%20b and %61%20b,
+// give the same key and so the same owner. A header value is taken as it is.
 func (r Rule) Key(path, headerValue string) (string, bool) {
 	if r.KeyHeader != "" && headerValue != "" {
 		return headerValue, true
@@ -43,20 +53,21 @@
 	}
 	key := ""
 	for i, element := range want {
-		if element == "{key}" {
-			key = have[i]
-			continue
+		value, err := url.PathUnescape(have[i])
+		if err != nil {
+			return "", false
 		}
-		if prefix, suffix, ok := strings.Cut(element, "{key}"); ok {
-			if len(have[i]) < len(prefix)+len(suffix) || !strings.HasPrefix(have[i], prefix) || !strings.HasSuffix(have[i], suffix) {
+		prefix, suffix, holdsKey := strings.Cut(element, "{key}")
+		if !holdsKey {
+			if element != value {
 				return "", false
 			}
-			key = have[i][len(prefix) : len(have[i])-len(suffix)]
 			continue
 		}
-		if element != have[i] {
+		if len(value) < len(prefix)+len(suffix) || !strings.HasPrefix(value, prefix) || !strings.HasSuffix(value, suffix) {
 			return "", false
 		}
+		key = value[len(prefix) : len(value)-len(suffix)]
 	}
 	return key, key != ""
 }
--- a/core/jsonc/jsonc.go
+++ b/core/jsonc/jsonc.go
@@ -17,7 +17,7 @@
 // Problem is one fault in a document.
 type Problem struct {
 	File    string
-	Line    int    // from 1; 0 when the field is absent
+	Line    int    // from 1; for an absent field, that of what should hold it; 0 when there is no file
 	Field   string // such as targets[3].slots
 	Message string
 }
@@ -66,7 +66,7 @@
 func Decode(file string, text []byte, into any) (*Source, error) {
 	root, err := hujson.Parse(text)
 	if err != nil {
-		return nil, Problems{{File: file, Message: err.Error()}}
+		return nil, Problems{syntaxProblem(file, err)}
 	}
 	src := &Source{file: file, text: text, root: root}
 	c := checker{src: src}
@@ -82,6 +82,15 @@
 	return src, nil
 }
 
+// syntaxProblem takes the line from the message of hujson, which has no typed error.
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Message: err.Error()}
+	if n, _ := fmt.Sscanf(p.Message, "hujson: line %d,", &p.Line); n == 1 {
+		_, p.Message, _ = strings.Cut(p.Message, ", ")
+	}
+	return p
+}
+
 // Problem returns a problem at a field, given as a path such as targets[3].slots.
 func (s *Source) Problem(field, format string, args ...any) Problem {
 	p := Problem{Field: field, Message: fmt.Sprintf(format, args...)}
@@ -89,10 +98,15 @@
 		return p
 	}
 	p.File = s.file
-	if v := s.root.Find(pointer(field)); v != nil {
-		p.Line = s.line(v.StartOffset)
+	for at := pointer(field); ; at = at[:strings.LastIndexByte(at, '/')] {
+		if v := s.root.Find(at); v != nil {
+			p.Line = s.line(v.StartOffset)
+			return p
+		}
+		if at == "" {
+			return p
+		}
 	}
-	return p
 }
 
 func (s *Source) line(offset int) int {
