--- a/node/logclient/transport.go
+++ b/node/logclient/transport.go
@@ -13,7 +13,9 @@
 	// idleTrust is how long an idle connection is reused. Connections go
 	// silent without notice, so an older one is replaced by a new one.
 	idleTrust = 2 * time.Second
-	// keepAliveProbes is the number of unanswered probes that end a connection.
+	// keepAliveProbe is the time before and between keepalive probes. They run
+	// while a read is held open, and end it when they stay unanswered.
+	keepAliveProbe  = time.Second
 	keepAliveProbes = 3
 	maxIdleConns    = 4
 )
@@ -26,7 +28,7 @@
 		Timeout: timeout,
 		Control: userTimeout(timeout),
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: max(timeout, time.Second), Interval: time.Second, Count: keepAliveProbes,
+			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes,
 		},
 	}
 	return &http.Client{
--- /dev/null
+++ b/node/replica/fakelog_test.go
@@ -0,0 +1,117 @@
+package replica
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/node/logclient"
+)
+
+// fakeLog is a log service whose faults the test decides.
+type fakeLog struct {
+	*httptest.Server
+	mu      sync.Mutex
+	streams map[string][]logclient.Entry
+	first   map[string]uint64
+	grown   chan struct{}
+	repeat  uint64 // pages begin with up to so many records again
+	// onAppend returns how many copies of the n-th append take effect, and the
+	// status of the answer, 0 for none.
+	onAppend func(n int) (copies, status int)
+	appends  int
+	onRead   func() (status int)
+}
+
+func newFakeLog(t *testing.T) *fakeLog {
+	f := &fakeLog{
+		streams: map[string][]logclient.Entry{}, first: map[string]uint64{}, grown: make(chan struct{}),
+		onAppend: func(int) (int, int) { return 1, 200 }, onRead: func() int { return 200 },
+	}
+	f.Server = httptest.NewServer(f)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeLog) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeLog) add(stream string, data []byte) uint64 {
+	n := f.first[stream] + uint64(len(f.streams[stream]))
+	f.streams[stream] = append(f.streams[stream], logclient.Entry{Offset: n, Data: data})
+	close(f.grown)
+	f.grown = make(chan struct{})
+	return n
+}
+
+// expire ends the retention of the records below an offset.
+func (f *fakeLog) expire(stream string, first uint64) {
+	f.streams[stream] = f.streams[stream][first-f.first[stream]:]
+	f.first[stream] = first
+}
+
+func (f *fakeLog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	stream := strings.Split(r.URL.Path, "/")[3]
+	if r.Method == http.MethodPost {
+		f.serveAppend(w, r, stream)
+		return
+	}
+	number := func(name string) uint64 { n, _ := strconv.ParseUint(r.FormValue(name), 10, 64); return n }
+	deadline := time.After(time.Duration(number("wait_ms")) * time.Millisecond)
+	for {
+		f.mu.Lock()
+		status, grown := f.onRead(), f.grown
+		from, first, next := number("from"), f.first[stream], f.first[stream]+uint64(len(f.streams[stream]))
+		if status == 200 && from < first {
+			status = http.StatusGone
+		}
+		page := logclient.Page{First: first, Next: next}
+		if status == 200 && from < next {
+			begin := max(from, first+f.repeat) - f.repeat
+			page.Records = append(page.Records, f.streams[stream][begin-first:min(from+number("max"), next)-first]...)
+		}
+		f.mu.Unlock()
+		if status != 200 || len(page.Records) > 0 || number("wait_ms") == 0 {
+			reply(w, status, page)
+			return
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			reply(w, status, page)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (f *fakeLog) serveAppend(w http.ResponseWriter, r *http.Request, stream string) {
+	data, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	f.appends++
+	copies, status := f.onAppend(f.appends)
+	var offset uint64
+	for range copies {
+		offset = f.add(stream, data)
+	}
+	f.mu.Unlock()
+	reply(w, status, map[string]uint64{"offset": offset})
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	if status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
