--- a/core/dedupe/dedupe.go
+++ b/core/dedupe/dedupe.go
@@ -42,6 +42,7 @@
 	Key         string // Idempotency-Key with the service and the caller's scope
 	Fingerprint uint64 // hash of method, path and body: another request with the same key is an error
 	Epoch       uint64 // dispatch epoch under which the intent was recorded
+	Attempt     uint64 // number of the Begin at the dispatcher; unique within Epoch
 	Phase       Phase
 	Answer      *Answer // set in PhaseDone unless it was larger than MaxAnswerSize
 	ChangedAt   time.Duration
@@ -52,11 +53,13 @@
 
 // The decisions of Begin.
 const (
-	Run      Decision = iota + 1 // the intent was recorded; copy it, then send
-	Wait                         // the same write is in flight here; wait for its outcome
-	Replay                       // the answer is known
-	Unknown                      // it may have run; never run it again
-	Mismatch                     // the key was used for another request
-	Full                         // no room for another entry; not run
-	OldEpoch                     // a newer dispatcher is known; not run
+	Run        Decision = iota + 1 // the intent was recorded; copy it, then send
+	Wait                           // the same write is in flight here; wait for its outcome
+	Replay                         // the answer is known
+	Unknown                        // it may have run; never run it again
+	Mismatch                       // the key was used for another request
+	Full                           // no room for another entry; not run
+	OldEpoch                       // a newer dispatcher is known; not run
+	Ran                            // it ran, but its answer was too large to keep; never run it again
+	Incomplete                     // stored at a copy that is not complete; does not count as an acknowledgement
 )
