Restart members for less than a promise in the authority harness

Cause: without the quiet time after a restart the harness found no second manager, because members stayed down for up to 4 s.

Ruled out: a fault in the node; the quiet time was in place.

Change: the restart fault restarts one to four members for at most 0.2 s.

Conclusion: the harness covers short restarts.

--- a/core/authority/harness_test.go
+++ b/core/authority/harness_test.go
@@ -236,7 +236,10 @@
 	case kind < 2 && c.running(c.members[i]):
 		c.pause(i, length, kind == 0)
 	case kind == 2:
-		c.kill(i, length)
+		// Short restarts: the former promises of the members still count.
+		for k := range 1 + c.rng.IntN(4) {
+			c.kill((i+k)%cellSize, length/20)
+		}
 	case kind == 3:
 		for _, m := range c.members {
 			m.group = c.rng.IntN(2)
