Add the operators' command line and the demo

Cause: operators need validate, apply, diff, status, owner, drains and the timeline; a newcomer needs one command that shows the system at work.

Ruled out: letting `apply` talk to the log itself; the VMs already know how to read back an append and who won a race.

--- /dev/null
+++ b/cmd/mangogate/demo_result.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/standin/history"
+	"github.com/mangogate/mangogate/standin/target"
+)
+
+// demoResult is what the demo prints.
+type demoResult struct {
+	Seconds  float64         `json:"seconds"`
+	Services []serviceResult `json:"services"`
+	Owners   map[string]int  `json:"shards_by_owner"` // at the end
+	Promises []promiseResult `json:"promises"`
+	Held     bool            `json:"held"`
+}
+
+type serviceResult struct {
+	Service          string  `json:"service"`
+	Requests         int     `json:"requests"`
+	Served           int     `json:"served"`
+	NotRun           int     `json:"not_run"`
+	Unknown          int     `json:"unknown"`
+	OtherFailed      int     `json:"other_failed"`
+	P50MS            float64 `json:"p50_ms"`
+	P99MS            float64 `json:"p99_ms"`
+	LongestGapMS     float64 `json:"longest_gap_ms"`
+	WorstKey         string  `json:"worst_key"`
+	UnavailableKeyMS float64 `json:"unavailable_worst_key_ms"`
+}
+
+type promiseResult struct {
+	Promise string   `json:"promise"`
+	Held    bool     `json:"held"`
+	Faults  []string `json:"faults,omitempty"`
+}
+
+// check judges the run by what targets executed and callers saw.
+func (r *demoRun) check(executions []target.Execution, length time.Duration) *demoResult {
+	out := &demoResult{Seconds: length.Seconds(), Owners: r.owners(), Held: true}
+	var mismatches, slow []string
+	for _, name := range slices.Sorted(maps.Keys(r.reports)) {
+		s := r.service(name)
+		out.Services = append(out.Services, s)
+		if n := r.reports[name].MismatchTotal; n > 0 {
+			mismatches = append(mismatches, fmt.Sprintf("%d answers of %s were not the caller's own or not whole", n, name))
+		}
+		if s.UnavailableKeyMS > float64(servedAgain.Milliseconds()) {
+			slow = append(slow, fmt.Sprintf("key %s of %s was unavailable for %.0f ms", s.WorstKey, name, s.UnavailableKeyMS))
+		}
+	}
+	drained := map[string]bool{}
+	for _, t := range r.dep.document.Targets {
+		drained[t.Name] = t.DataCentre == r.dep.document.DataCentres[2].Name
+	}
+	out.promise("no key has two owners at once", history.Owners(executions))
+	out.promise("a write runs at most once", history.Writes(executions))
+	out.promise("a refusal that says a request was not run is true", history.Refusals(r.results, executions))
+	out.promise("every caller gets its own whole answer", mismatches)
+	out.promise(fmt.Sprintf("a data centre that is out gets no new work after %v", noNewWork),
+		history.Started(executions, drained, r.outAt.Add(noNewWork).UnixMicro(), r.inAt.UnixMicro()))
+	out.promise(fmt.Sprintf("a key is served again within %v of a loss", servedAgain), slow)
+	return out
+}
+
+func (d *demoResult) promise(text string, faults []string) {
+	d.Promises = append(d.Promises, promiseResult{Promise: text, Held: len(faults) == 0, Faults: faults})
+	d.Held = d.Held && len(faults) == 0
+}
+
+func (r *demoRun) service(name string) serviceResult {
+	rep := r.reports[name]
+	s := serviceResult{
+		Service: name, Requests: rep.Requests, Served: rep.Served, P50MS: rep.Latency.P50, P99MS: rep.Latency.P99, LongestGapMS: rep.LongestGapMS,
+	}
+	for _, o := range rep.Outcomes {
+		switch o.Outcome {
+		case "run":
+		case "not-run":
+			s.NotRun += o.Count
+		case "unknown":
+			s.Unknown += o.Count
+		default:
+			s.OtherFailed += o.Count
+		}
+	}
+	if len(rep.KeyGaps) > 0 {
+		s.WorstKey, s.UnavailableKeyMS = rep.KeyGaps[0].Key, rep.KeyGaps[0].GapMS
+	}
+	return s
+}
+
+// owners counts the shards of each target in the map in force.
+func (r *demoRun) owners() map[string]int {
+	counts := map[string]int{}
+	m := r.dep.vms[0].Map()
+	if m == nil {
+		return counts
+	}
+	for _, s := range r.dep.document.Services {
+		if s.Ownership == inventory.OwnershipKey {
+			for _, route := range m.Shards[s.Name] {
+				counts[route.Owner]++
+			}
+		}
+	}
+	return counts
+}
+
+func (d *demoResult) print(out io.Writer, asJSON bool) error {
+	if asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(d)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tREQUESTS\tSERVED\tNOT RUN\tUNKNOWN\tOTHER\tP50 MS\tP99 MS\tLONGEST GAP MS\tWORST KEY UNAVAILABLE MS")
+	for _, s := range d.Services {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.0f\t%.0f\n", s.Service, s.Requests, s.Served, s.NotRun, s.Unknown,
+			s.OtherFailed, s.P50MS, s.P99MS, s.LongestGapMS, s.UnavailableKeyMS)
+	}
+	fmt.Fprintln(w, "\nOWNER\tSHARDS")
+	for _, name := range slices.Sorted(maps.Keys(d.Owners)) {
+		fmt.Fprintf(w, "%s\t%d\n", name, d.Owners[name])
+	}
+	fmt.Fprintln(w, "\nPROMISE\tHELD")
+	for _, p := range d.Promises {
+		fmt.Fprintf(w, "%s\t%v\n", p.Promise, p.Held)
+		for _, f := range p.Faults {
+			fmt.Fprintf(w, "  %s\t\n", f)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/mangogatectl/change.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/mangogate/mangogate/core/control"
+	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/node/admin"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const pollInterval = 100 * time.Millisecond
+
+func waitFlag() cli.Flag {
+	return &cli.DurationFlag{Name: "wait", Value: 10 * time.Second, Usage: "how long to wait until the change is in force on every live VM"}
+}
+
+// load reads and validates an inventory file; problems end the command with exit 2.
+func load(path string) (*inventory.Document, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, cli.Exit(err.Error(), exitUsage)
+	}
+	doc, err := inventory.Parse(path, text)
+	if err != nil {
+		return nil, cli.Exit(err.Error(), exitUsage)
+	}
+	return doc, nil
+}
+
+func validateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "validate", Usage: "check an inventory file", ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			path, err := argument(c, "file")
+			if err != nil {
+				return err
+			}
+			doc, err := load(path)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.Root().Writer, "%s is valid: %d data centres, %d services, %d targets, %d rules\n",
+				path, len(doc.DataCentres), len(doc.Services), len(doc.Targets), len(doc.Rules))
+			return nil
+		},
+	}
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "put an inventory file in force", ArgsUsage: "FILE",
+		Flags: []cli.Flag{waitFlag(),
+			&cli.Uint64Flag{Name: "base", Usage: "document `VERSION` that the file was edited from; by default the one in force now"}},
+		Action: apply,
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command) error {
+	path, err := argument(c, "file")
+	if err != nil {
+		return err
+	}
+	doc, err := load(path)
+	if err != nil {
+		return err
+	}
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	base := c.Uint64("base")
+	if !c.IsSet("base") {
+		var config admin.ConfigReply
+		if err := cl.get(ctx, "/v1/config", &config); err != nil {
+			return err
+		}
+		base = config.DocumentVersion
+	}
+	reply, err := cl.post(ctx, "/v1/apply", admin.ApplyRequest{Author: author(), Base: base, Document: *doc})
+	if err != nil {
+		return err
+	}
+	return finish(ctx, c, cl, reply)
+}
+
+func drainCommand(name string, scope control.DrainScope, what string) *cli.Command {
+	change := func(direction string, out bool, usage string) *cli.Command {
+		return &cli.Command{
+			Name: direction, Usage: usage, ArgsUsage: "NAME", Flags: []cli.Flag{waitFlag()},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				target, err := argument(c, "name")
+				if err != nil {
+					return err
+				}
+				cl, err := newClient(c)
+				if err != nil {
+					return err
+				}
+				reply, err := cl.post(ctx, "/v1/drain", admin.DrainRequest{Author: author(), Scope: scope, Name: target, Out: out})
+				if err != nil {
+					return err
+				}
+				return finish(ctx, c, cl, reply)
+			},
+		}
+	}
+	return &cli.Command{
+		Name: name, Usage: "take " + what + " out of service or back in",
+		Commands: []*cli.Command{
+			change("out", true, "take "+what+" out of service"),
+			change("in", false, "bring "+what+" back into service"),
+		},
+	}
+}
+
+// finish reports a change and waits until it is in force.
+func finish(ctx context.Context, c *cli.Command, cl *client, reply admin.ChangeReply) error {
+	out := c.Root().Writer
+	switch reply.Result {
+	case admin.ResultLost:
+		return cli.Exit(fmt.Sprintf("not applied: version %d by %s was accepted first; look at it with `mangogatectl diff` and apply again",
+			reply.Winner, reply.By), exitLost)
+	case admin.ResultInvalid:
+		return cli.Exit("not applied: "+reply.Detail, exitUsage)
+	case admin.ResultNoChange:
+		fmt.Fprintln(out, "no change: this is in force already")
+	default:
+		fmt.Fprintf(out, "accepted as version %d\n", reply.Version)
+	}
+	return waitInForce(ctx, out, cl, reply.Version, c.Duration("wait"))
+}
+
+// waitInForce waits until every VM has a configuration version in force.
+func waitInForce(ctx context.Context, out io.Writer, cl *client, version uint64, wait time.Duration) error {
+	deadline := time.Now().Add(wait)
+	for {
+		missing, err := notInForce(ctx, cl, version)
+		if err == nil && len(missing) == 0 {
+			fmt.Fprintf(out, "version %d is in force on every VM\n", version)
+			return nil
+		}
+		if time.Now().After(deadline) {
+			if err != nil {
+				return err
+			}
+			return cli.Exit(fmt.Sprintf("version %d is accepted but not in force on: %s", version, strings.Join(missing, ", ")), exitNotReady)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func notInForce(ctx context.Context, cl *client, version uint64) ([]string, error) {
+	var s admin.ClusterStatus
+	if err := cl.get(ctx, "/v1/status", &s); err != nil {
+		return nil, errors.Wrap(err, "status")
+	}
+	var missing []string
+	for _, vm := range s.VMs {
+		if !vm.InForce(version) {
+			reason := fmt.Sprintf("at version %d", min(vm.ConfigVersion, vm.MapConfigVersion))
+			if vm.Error != "" {
+				reason = "does not answer"
+			}
+			missing = append(missing, vm.VM+" ("+reason+")")
+		}
+	}
+	return missing, nil
+}
--- /dev/null
+++ b/cmd/mangogatectl/client.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os/user"
+	"time"
+
+	"github.com/mangogate/mangogate/node/admin"
+	"github.com/mangogate/mangogate/node/settings"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const callTimeout = 15 * time.Second
+
+// client calls the operators' interface of the first VM that answers.
+type client struct {
+	vms    []string
+	token  string
+	scheme string
+	http   *http.Client
+}
+
+func newClient(c *cli.Command) (*client, error) {
+	vms := c.StringSlice("vm")
+	if len(vms) == 0 {
+		return nil, cli.Exit("--vm or MANGOGATE_VM is needed: the operators' address of a VM", exitUsage)
+	}
+	if c.String("token-file") == "" {
+		return nil, cli.Exit("--token-file or MANGOGATE_TOKEN_FILE is needed", exitUsage)
+	}
+	token, err := settings.ReadSecret(c.String("token-file"))
+	if err != nil {
+		return nil, cli.Exit(err.Error(), exitUsage)
+	}
+	files := settings.TLS{CAFile: c.String("ca-file"), CertFile: c.String("cert-file"), KeyFile: c.String("key-file")}
+	config, err := files.ClientConfig()
+	if err != nil {
+		return nil, cli.Exit(err.Error(), exitUsage)
+	}
+	cl := &client{vms: vms, token: string(token), scheme: "http", http: &http.Client{Timeout: callTimeout}}
+	if config != nil {
+		cl.useTLS(config)
+	}
+	return cl, nil
+}
+
+func (c *client) useTLS(config *tls.Config) {
+	c.scheme = "https"
+	c.http.Transport = &http.Transport{TLSClientConfig: config}
+}
+
+// get tries the VMs in turn.
+func (c *client) get(ctx context.Context, path string, out any) error {
+	var last error
+	for _, vm := range c.vms {
+		status, body, err := c.do(ctx, http.MethodGet, vm, path, nil)
+		if err != nil {
+			last = errors.Wrapf(err, "ask VM %s", vm)
+			continue
+		}
+		if status != http.StatusOK {
+			return errors.Wrapf(problem(status, body), "VM %s", vm)
+		}
+		return errors.Wrapf(json.Unmarshal(body, out), "answer of VM %s", vm)
+	}
+	return last
+}
+
+// post makes a change. A VM that cannot be reached is skipped; once a request
+// may have reached a VM, no other VM is asked, because the change may be made.
+func (c *client) post(ctx context.Context, path string, in any) (admin.ChangeReply, error) {
+	var reply admin.ChangeReply
+	data, err := json.Marshal(in)
+	if err != nil {
+		return reply, err
+	}
+	var last error
+	for _, vm := range c.vms {
+		if last = c.reachable(ctx, vm); last != nil {
+			continue
+		}
+		status, body, err := c.do(ctx, http.MethodPost, vm, path, data)
+		if err != nil {
+			return reply, errors.Wrapf(err, "VM %s did not answer; the change may have been made, see `mangogatectl status`", vm)
+		}
+		if err := json.Unmarshal(body, &reply); err != nil || reply.Result == "" {
+			return reply, errors.Wrapf(problem(status, body), "VM %s", vm)
+		}
+		return reply, nil
+	}
+	return reply, last
+}
+
+func (c *client) reachable(ctx context.Context, vm string) error {
+	_, _, err := c.do(ctx, http.MethodGet, vm, "/live", nil)
+	return errors.Wrapf(err, "reach VM %s", vm)
+}
+
+func (c *client) do(ctx context.Context, method, vm, path string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+vm+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+func problem(status int, body []byte) error {
+	var p admin.Problem
+	if json.Unmarshal(body, &p) == nil && p.Error != "" {
+		return errors.New(p.Error)
+	}
+	return errors.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+}
+
+// author names who makes a change, for the loser of a race.
+func author() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
--- a/cmd/mangogatectl/main.go
+++ b/cmd/mangogatectl/main.go
@@ -1,4 +1,53 @@
-// Command mangogatectl is not built yet.
+// Command mangogatectl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/mangogate/mangogate/core/control"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2 // arguments or files are wrong; nothing was changed
+	exitLost     = 3 // another change was accepted first
+	exitNotReady = 4 // accepted, but not in force on every VM in time
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "mangogatectl",
+		Usage: "operate a mangogate deployment",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "vm", Sources: cli.EnvVars("MANGOGATE_VM"),
+				Usage: "operators' `ADDRESS` of a VM; repeat it to have others tried when one does not answer"},
+			&cli.StringFlag{Name: "token-file", Sources: cli.EnvVars("MANGOGATE_TOKEN_FILE"), Usage: "`FILE` with the operators' token"},
+			&cli.StringFlag{Name: "ca-file", Sources: cli.EnvVars("MANGOGATE_CA_FILE"), Usage: "`FILE` with the CA of the VMs' certificates; without it plain HTTP is used"},
+			&cli.StringFlag{Name: "cert-file", Usage: "`FILE` with a client certificate"},
+			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the key of the client certificate"},
+		},
+		Commands: []*cli.Command{
+			validateCommand(), applyCommand(), diffCommand(), statusCommand(), ownerCommand(), timelineCommand(),
+			drainCommand("data-centre", control.ScopeDataCentre, "a data centre"),
+			drainCommand("vm", control.ScopeVM, "a VM"),
+			drainCommand("target", control.ScopeTarget, "a target"),
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		// cli.Exit errors have ended the process already.
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+// argument returns the only argument of a command.
+func argument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", cli.Exit(fmt.Sprintf("%s: exactly one %s is needed, got %d", c.FullName(), what, c.Args().Len()), exitUsage)
+	}
+	return c.Args().First(), nil
+}
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -64,7 +64,7 @@
 		rec.Term = &TermOpened{s.term + near(t, 1), rec.Writer}
 	default:
 		shard := ShardAssignment{"s", int(near(t, 0)), "t1", rapid.SampledFrom([][]string{nil, {}, {"t2"}}).Draw(t, "standbys"), FenceBlock * near(t, 2)}
-		rec.Assign = &AssignmentChange{s.term + near(t, 0), s.assignVersion + near(t, 0), []ShardAssignment{shard}}
+		rec.Assign = &AssignmentChange{s.term + near(t, 0), s.assignVersion + near(t, 0), []ShardAssignment{shard}, rapid.Bool().Draw(t, "published")}
 	}
 	return rec
 }
@@ -160,7 +160,7 @@
 			{Document: &DocumentChange{s.documentVersion, "ann", doc}},
 			{Drain: &drain},
 			{Members: &MembersChange{s.membersVersion, []Member{{0, "v1", "a", "p"}}}},
-			{Assign: &AssignmentChange{s.term, s.assignVersion, nil}},
+			{Assign: &AssignmentChange{s.term, s.assignVersion, nil, false}},
 		}).Draw(t, "record")
 		at := s.Next() + 3
 		rec.Writer, rec.Seq = "x", 1
@@ -202,7 +202,7 @@
 		lower := rapid.Uint64Range(0, term-1).Draw(t, "lower")
 		for i, rec := range []Record{
 			{Term: &TermOpened{lower, "y"}}, {Term: &TermOpened{term, "y"}},
-			{Assign: &AssignmentChange{lower, s.assignVersion, []ShardAssignment{{Service: "s", Owner: "t2", Fence: 1 << 40}}}},
+			{Assign: &AssignmentChange{lower, s.assignVersion, []ShardAssignment{{Service: "s", Owner: "t2", Fence: 1 << 40}}, false}},
 		} {
 			rec.Writer, rec.Seq = "y", uint64(i+1)
 			v := s.Apply(s.Next(), rec)
--- a/node/manager/servers.go
+++ b/node/manager/servers.go
@@ -41,6 +41,7 @@
 			t.record("shard.withdrawn", a.Shard, a.Server)
 			t.block(now, a)
 		case lease.Lost:
+			t.clearRoutes(a.Server)
 			if s := t.servers[a.Server]; s != nil {
 				s.lost = true
 			}
@@ -48,6 +49,7 @@
 			t.m.logger.Warn("server lost", "target", a.Server)
 			t.plannedAt = 0
 		case lease.Restarted:
+			t.clearRoutes(a.Server)
 			t.m.events.Record(timeline.Event{Kind: "server.restarted", Target: a.Server, Term: t.term})
 		case lease.FenceStale:
 			t.raiseFence(now, a)
@@ -68,6 +70,18 @@
 	}
 }
 
+// clearRoutes withdraws every route to a server.
+func (t *tenure) clearRoutes(server string) {
+	for _, routes := range t.routes {
+		for i, r := range routes {
+			if r.Owner == server {
+				routes[i] = shardmap.Route{}
+				t.dirty = true
+			}
+		}
+	}
+}
+
 // block holds a shard back from its next owner while a VM may still send to
 // the old one, if the targets of the service do not check fences themselves.
 func (t *tenure) block(now time.Duration, a lease.Withdrawn) {
--- a/node/manager/shards.go
+++ b/node/manager/shards.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	appendTimeout = 3 * time.Second
+	appendTimeout   = 3 * time.Second
+	snapshotTimeout = 20 * time.Second
 	// maxShardsPerRecord keeps records well under control.MaxRecordBytes.
 	maxShardsPerRecord = 4096
 )
@@ -74,6 +75,25 @@
 	t.appendAssignments(base, record[:min(len(record), maxShardsPerRecord)], first && len(record) == 0)
 }
 
+// writeSnapshot writes a snapshot of the log when one is due.
+func (t *tenure) writeSnapshot() {
+	if t.snapshotting || !t.opened || !t.m.replica.SnapshotDue() {
+		return
+	}
+	t.snapshotting = true
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, snapshotTimeout)
+		defer cancel()
+		err := t.m.replica.WriteSnapshot(ctx)
+		t.m.post(func() {
+			t.snapshotting = false
+			if err == nil {
+				t.m.events.Record(timeline.Event{Kind: "snapshot.written", Term: t.term})
+			}
+		})
+	}()
+}
+
 // planService returns the assignments of a service that the log lacks.
 func (t *tenure) planService(now time.Duration, st *control.State, s inventory.Service) []control.ShardAssignment {
 	shards := make([]placement.Shard, s.Shards)
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -51,9 +51,10 @@
 	current  *shardmap.Map
 	dirty    bool
 
-	opened    bool // the own Term record was read back
-	appending bool
-	plannedAt time.Duration
+	opened       bool // the own Term record was read back
+	appending    bool
+	snapshotting bool
+	plannedAt    time.Duration
 }
 
 func newTenure(m *Manager, term uint64) *tenure {
@@ -123,6 +124,7 @@
 	if now-t.plannedAt >= planInterval {
 		t.plannedAt = now
 		t.planShards(now)
+		t.writeSnapshot()
 	}
 	t.planGroups(now)
 	t.publish(now)
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -13,6 +13,9 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// Name is the module name of Replica.
+const Name = "control.replica"
+
 // The streams of the log service.
 const (
 	ControlStream  = "control"
@@ -110,7 +113,7 @@
 }
 
 // Name returns the module name.
-func (r *Replica) Name() string { return "control.replica" }
+func (r *Replica) Name() string { return Name }
 
 // Start starts the reader and returns at once, also when the log is down.
 func (r *Replica) Start(context.Context) error {
--- a/node/vm/vm.go
+++ b/node/vm/vm.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/admin"
 	"github.com/mangogate/mangogate/node/callers"
 	"github.com/mangogate/mangogate/node/clock"
@@ -163,3 +164,6 @@
 	case <-ctx.Done():
 	}
 }
+
+// Map returns the dispatch map in force on this VM, nil before the first.
+func (v *VM) Map() *shardmap.Map { return v.maps.Current() }
