Serve the whole path in the demo

Requests that waited for the slot of a lost server stayed in its queue until their deadline, so one key was unavailable for 6549 ms. A change of the copies turned a write in flight into an unknown outcome.

Ruled out: a shorter queue deadline; the requests have time left and belong to the next owner. Asking the copies again under the old epoch; they refuse it.

Change: requests whose route has changed leave the queue and are resolved again. A dispatcher that goes on under a new epoch keeps its intents (dedupe.Table.Renew), and withdraws at the copies what it has not sent. Suspects of crashes run one at a time and are spread to all VMs.

--- a/cmd/mangogate/demo_result.go
+++ b/cmd/mangogate/demo_result.go
@@ -93,7 +93,7 @@
 		}
 	}
 	if len(rep.KeyGaps) > 0 {
-		s.WorstKey, s.UnavailableKeyMS = rep.KeyGaps[0].Key, rep.KeyGaps[0].GapMS
+		s.WorstKey, s.UnavailableKeyMS = rep.KeyGaps[0].Key, rep.KeyGaps[0].MS
 	}
 	return s
 }
--- a/cmd/mangogate/deployment.go
+++ b/cmd/mangogate/deployment.go
@@ -239,11 +239,13 @@
 func (d *deployment) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), demoShutdownLimit)
 	defer cancel()
-	var wg sync.WaitGroup
-	for _, v := range d.vms {
-		wg.Go(func() { _ = v.Stop(ctx) }) // the process ends anyway
+	for i, v := range d.vms {
+		if i == len(d.vms)-1 {
+			v.Abort() // nobody is left to hand over to
+			break
+		}
+		_ = v.Stop(ctx) // the process ends anyway
 	}
-	wg.Wait()
 	for _, t := range d.targets {
 		t.kill()
 	}
--- a/core/dedupe/table.go
+++ b/core/dedupe/table.go
@@ -155,6 +155,22 @@
 	return true
 }
 
+// Renew lets the VM that dispatches go on under a higher epoch. Its intents
+// stay what they are, because no other dispatcher was between. It returns
+// false, without effect, if this VM does not dispatch or knows that epoch.
+func (t *Table) Renew(epoch uint64) bool {
+	if t.own == 0 || epoch <= t.epoch {
+		return false
+	}
+	for el := t.changes.Front(); el != nil; el = el.Next() {
+		if e := el.Value.(*Entry); e.Phase == PhaseIntent && e.Epoch == t.own {
+			e.Epoch = epoch
+		}
+	}
+	t.epoch, t.own = epoch, epoch
+	return true
+}
+
 // Complete records the answer of a write that was sent from here, also when it
 // arrives after the write was given up as unknown. The answer must not be
 // changed afterwards.
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -50,7 +50,8 @@
 	mu         sync.Mutex
 	groups     map[string]*group
 	cancels    map[string]context.CancelFunc // by request id
-	quarantine *quarantine.Quarantine
+	quarantine *quarantine.State
+	alone      map[uint64]bool // suspects that run now, by fingerprint
 	budget     *retry.Budget
 	unhealthy  map[string]bool // targets that refuse connections
 	draining   map[string]bool // targets that say so
@@ -75,7 +76,8 @@
 		vm: vm, clock: c, events: events, logger: logger, ctx: ctx, cancel: cancel,
 		groups: map[string]*group{}, cancels: map[string]context.CancelFunc{},
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
-		budget:     retry.NewBudget(retry.DefaultBudget()),
+		alone:      map[uint64]bool{},
+		budget:     retry.NewBudget(retry.DefaultBudgetConfig(), c.Now()),
 		unhealthy:  map[string]bool{}, draining: map[string]bool{},
 		counters: counters{
 			sent: counter("sent"), retried: counter("retried"), notRun: counter("not_run"),
@@ -143,6 +145,7 @@
 func (s *Service) tick() {
 	for _, g := range s.allGroups() {
 		g.tick()
+		g.evict(s.routed)
 	}
 }
 
@@ -163,6 +166,9 @@
 			s.takeUp(name)
 		}
 	}
+	for _, g := range s.allGroups() {
+		g.evict(s.routed)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, g := range s.groups {
--- a/node/dispatch/group.go
+++ b/node/dispatch/group.go
@@ -24,6 +24,15 @@
 	reason admission.Reason // set when it was refused
 }
 
+// reasonMoved ends the wait of a request whose route has changed.
+const reasonMoved admission.Reason = "moved"
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	req *Request
+	end chan verdict // buffered
+}
+
 // group is the shell around the admission of one dispatch group.
 type group struct {
 	name    string
@@ -33,10 +42,9 @@
 	mu        sync.Mutex
 	admission *admission.Group
 	nextID    admission.ID
-	waiting   map[admission.ID]chan verdict
+	waiting   map[admission.ID]waiter
 	running   map[admission.ID]running
 	boots     map[string]string // boot id by target
-	timer     *time.Timer
 }
 
 func newGroup(name string, s inventory.Service, c *clock.Clock) *group {
@@ -47,7 +55,7 @@
 	return &group{
 		name: name, service: s.Name, clock: c,
 		admission: admission.NewGroup(admission.DefaultConfig(queue)),
-		waiting:   map[admission.ID]chan verdict{},
+		waiting:   map[admission.ID]waiter{},
 		running:   map[admission.ID]running{},
 		boots:     map[string]string{},
 	}
@@ -66,9 +74,9 @@
 }
 
 func (g *group) decide(id admission.ID, v verdict) {
-	if ch, ok := g.waiting[id]; ok {
+	if w, ok := g.waiting[id]; ok {
 		delete(g.waiting, id)
-		ch <- v // buffered
+		w.end <- v
 	}
 }
 
@@ -85,7 +93,7 @@
 	g.nextID++
 	id := g.nextID
 	ch := make(chan verdict, 1)
-	g.waiting[id] = ch
+	g.waiting[id] = waiter{req: req, end: ch}
 	g.step(admission.Arrive{ID: id, Deadline: deadline, Alone: alone, Avoid: avoid})
 	g.mu.Unlock()
 	var v verdict
@@ -118,6 +126,18 @@
 	return true
 }
 
+// evict ends the wait of requests that this VM is no longer to send.
+func (g *group) evict(stays func(*Request) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, w := range g.waiting {
+		if !stays(w.req) {
+			g.decide(id, verdict{reason: reasonMoved})
+			g.step(admission.Cancel{ID: id})
+		}
+	}
+}
+
 // started notes a request as in flight, for reports and crash suspicion.
 func (g *group) started(id admission.ID, r running) {
 	g.mu.Lock()
--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -8,6 +8,7 @@
 	"github.com/mangogate/mangogate/core/admission"
 	"github.com/mangogate/mangogate/core/dedupe"
 	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/core/retry"
 	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/ledger"
 	"github.com/mangogate/mangogate/node/targets"
@@ -116,6 +117,11 @@
 	return entry, routes[req.Shard], true
 }
 
+func (s *Service) routed(req *Request) bool {
+	_, _, ok := s.route(req)
+	return ok
+}
+
 // progress is what is known of a request over its attempts.
 type progress struct {
 	deadline time.Duration
@@ -158,6 +164,12 @@
 	if refused {
 		return NotRun(ReasonQuarantined, "The request made targets crash and is refused for now."), false
 	}
+	if alone {
+		if !s.takeAlone(fingerprint(req)) {
+			return nil, true
+		}
+		defer s.leaveAlone(fingerprint(req))
+	}
 	s.mu.Lock()
 	g := s.groups[req.Group]
 	s.mu.Unlock()
@@ -172,8 +184,19 @@
 		return NotRun(ReasonQueueFull, "Too many requests wait for this target."), false
 	case admission.ReasonDeadline:
 		return deadlinePassed(req, p), false
+	case reasonMoved:
+		return moved(), false
+	}
+	// The request may have become suspect while it waited.
+	if nowAlone, nowRefused := s.checkQuarantine(req); nowRefused || nowAlone != alone {
+		g.finish(place.id, admission.ResultCancelled, 0)
+		return nil, true
+	}
+	result, again = s.send(ctx, req, p, g, place)
+	if alone && result != nil && result.Outcome == OutcomeRun {
+		s.cleared(req)
 	}
-	return s.send(ctx, req, p, g, place)
+	return result, again
 }
 
 // send sends the request to the target whose slot it has.
@@ -204,7 +227,6 @@
 	}
 	g.finish(place.id, admission.ResultDone, took)
 	s.counters.serviceTime.Update(took)
-	s.cleared(req)
 	return &Result{Outcome: OutcomeRun, Status: answer.Status, Header: answer.Header, Body: answer.Body}, false
 }
 
@@ -251,17 +273,28 @@
 	}
 	g.finish(place.id, failedResult(ctx, send), took)
 	p.avoid = t.Name
-	if !send.Written {
-		if ctx.Err() != nil {
-			return deadlinePassed(req, p), false
-		}
+	if !send.Written && ctx.Err() == nil {
 		s.observe(g, t)
-		return nil, true
 	}
-	if req.Read && ctx.Err() == nil && s.mayRetry() {
-		return nil, true
+	return s.classify(ctx, req, p, send)
+}
+
+// classify decides whether a failed attempt is repeated, and its result if not.
+func (s *Service) classify(ctx context.Context, req *Request, p *progress, send *targets.SendError) (*Result, bool) {
+	failed := retry.Attempt{
+		Read: req.Read, Written: send.Written, Incomplete: true, Timeout: send.Timeout(),
+		Remaining: p.deadline - s.clock.Now(), Needed: retryPause,
 	}
-	if ctx.Err() != nil {
+	verdict := retry.Classify(failed)
+	if ctx.Err() != nil || (verdict == retry.Retry && send.Written && !s.mayRetry()) {
+		verdict = failed.WithoutRetry()
+	}
+	switch {
+	case verdict == retry.Retry:
+		return nil, true
+	case verdict == retry.AnswerNotRun:
+		return deadlinePassed(req, p), false
+	case ctx.Err() != nil:
 		return Unknown(ReasonDeadlineRunning, "The deadline passed while the request was running."), false
 	}
 	return Unknown(ReasonOutcomeUnknown, "The target failed while it had the request: "+send.Error()), false
--- a/node/dispatch/suspect.go
+++ b/node/dispatch/suspect.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"strings"
-
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/quarantine"
@@ -35,11 +33,28 @@
 	return false, false
 }
 
-// cleared ends the suspicion against a request that ran.
+// takeAlone lets only one of several equal suspects run at a time.
+func (s *Service) takeAlone(fp uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.alone[fp] {
+		return false
+	}
+	s.alone[fp] = true
+	return true
+}
+
+func (s *Service) leaveAlone(fp uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.alone, fp)
+}
+
+// cleared ends the suspicion against a request that ran alone.
 func (s *Service) cleared(req *Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quarantine.Completed(s.clock.Now(), quarantine.Fingerprint(fingerprint(req)))
+	s.quarantine.CompletedAlone(s.clock.Now(), quarantine.Fingerprint(fingerprint(req)))
 }
 
 // suspectCrash finds out whether a target crashed and marks what it had in
@@ -72,14 +87,18 @@
 func (s *Service) mayRetry() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Take(s.clock.Now())
+	return s.budget.Allow(s.clock.Now())
 }
 
 // refusals returns what the quarantine spreads; mu is held.
 func (s *Service) refusals() []mapstore.Refusal {
 	var out []mapstore.Refusal
-	for _, r := range s.quarantine.Refusals(s.clock.Now()) {
-		out = append(out, mapstore.Refusal{Fingerprint: uint64(r.Fingerprint), Remaining: r.Remaining})
+	now := s.clock.Now()
+	for _, r := range s.quarantine.Refusals(now) {
+		out = append(out, mapstore.Refusal{Fingerprint: uint64(r.Fingerprint), Crash: r.Crash, Remaining: r.Remaining})
+	}
+	for _, r := range s.quarantine.Suspects(now) {
+		out = append(out, mapstore.Refusal{Fingerprint: uint64(r.Fingerprint), Crash: r.Crash, Suspect: true, Remaining: r.Remaining})
 	}
 	return out
 }
@@ -89,17 +108,19 @@
 	if len(rs) == 0 {
 		return
 	}
-	list := make([]quarantine.Refusal, len(rs))
-	for i, r := range rs {
-		list[i] = quarantine.Refusal{Fingerprint: quarantine.Fingerprint(r.Fingerprint), Remaining: r.Remaining}
+	var refused []quarantine.Refusal
+	var suspects []quarantine.Suspect
+	for _, r := range rs {
+		fp := quarantine.Fingerprint(r.Fingerprint)
+		if r.Suspect {
+			suspects = append(suspects, quarantine.Suspect{Fingerprint: fp, Crash: r.Crash, Remaining: r.Remaining})
+		} else {
+			refused = append(refused, quarantine.Refusal{Fingerprint: fp, Crash: r.Crash, Remaining: r.Remaining})
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quarantine.Merge(s.clock.Now(), list)
-}
-
-// serviceOf returns the service of a group name.
-func serviceOf(group string) string {
-	name, _, _ := strings.Cut(group, "/")
-	return name
+	now := s.clock.Now()
+	s.quarantine.Merge(now, refused)
+	s.quarantine.MergeSuspects(now, suspects)
 }
--- a/node/ledger/book.go
+++ b/node/ledger/book.go
@@ -54,8 +54,10 @@
 		b.keeper = false
 		return false, 0
 	}
-	b.table.Observe(g.Epoch)
 	wasKeeper := b.keeper
+	if !wasKeeper || g.Dispatcher != self || !b.table.Renew(g.Epoch) {
+		b.table.Observe(g.Epoch)
+	}
 	previous = b.completeAt
 	b.epoch, b.copies = g.Epoch, slices.Clone(g.Copies)
 	b.keeper = g.Dispatcher == self
@@ -107,10 +109,7 @@
 func (b *book) entry(key string) (dedupe.Entry, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	e, ok := b.table.Lookup(key)
-	// The copies of a later epoch refuse entries of an earlier one.
-	e.Epoch = max(e.Epoch, b.epoch)
-	return e, ok
+	return b.table.Lookup(key)
 }
 
 // currentCopies returns the copies and the epoch under which intents go to them.
--- a/node/ledger/copies.go
+++ b/node/ledger/copies.go
@@ -107,6 +107,9 @@
 		reply.OldEpoch = true
 		return nil
 	}
+	for _, w := range args.Withdraw {
+		b.table.Withdraw(w.Key, w.Epoch, w.Attempt)
+	}
 	for _, e := range args.Entries {
 		e.ChangedAt = now // the keeper's clock means nothing here
 		switch b.table.Copy(now, e) {
@@ -121,9 +124,6 @@
 			reply.MayHaveRun = true
 		}
 	}
-	for _, w := range args.Withdraw {
-		b.table.Withdraw(w.Key, args.Epoch, w.Attempt)
-	}
 	return nil
 }
 
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -252,6 +252,7 @@
 	l.intents.Inc(1)
 	start := time.Now()
 	defer l.copyTime.UpdateSince(start)
+	var earlier []Withdrawal // copied under an epoch that has passed; not sent
 	for {
 		copies, epoch, keeper := b.currentCopies()
 		if !keeper {
@@ -261,7 +262,8 @@
 		if !known {
 			break // the attempt expired
 		}
-		err := l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}})
+		err := l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}, Withdraw: earlier})
+		earlier = append(earlier, Withdrawal{Key: entry.Key, Epoch: entry.Epoch, Attempt: entry.Attempt})
 		if err == nil {
 			if after, e, k := b.currentCopies(); k && e == epoch && slices.Equal(after, copies) {
 				return BeginReply{Decision: Run}
@@ -351,7 +353,7 @@
 		return
 	case args.Outcome == OutcomeNotRun:
 		b.table.Fail(now, args.Key, true)
-		copied.Withdraw = []Withdrawal{{Key: args.Key, Attempt: entry.Attempt}}
+		copied.Withdraw = []Withdrawal{{Key: args.Key, Epoch: entry.Epoch, Attempt: entry.Attempt}}
 	default:
 		b.table.Fail(now, args.Key, false)
 	}
--- a/node/ledger/messages.go
+++ b/node/ledger/messages.go
@@ -69,6 +69,7 @@
 // Withdrawal identifies an intent.
 type Withdrawal struct {
 	Key     string
+	Epoch   uint64
 	Attempt uint64
 }
 
--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -31,9 +31,12 @@
 	Refusals []Refusal
 }
 
-// Refusal spreads a quarantined request to all VMs.
+// Refusal spreads a request that made targets crash to all VMs: one that is
+// suspect, or one that is refused.
 type Refusal struct {
 	Fingerprint uint64
+	Crash       uint64 // identifies the crash
+	Suspect     bool
 	Remaining   time.Duration
 }
 
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -105,7 +105,7 @@
 		}
 	}
 	for _, p := range c.proxies {
-		_ = p.Close() // nothing is left to deliver
+		p.Close()
 	}
 }
 
