Test the whole path and losses with real processes

Cause: the path and the losses of a VM, the manager and a server were only shown by the demo, in one process.

Ruled out: waiting by sleeps; each wait is for a count of served requests.

Targets append every execution to one file, so that kills lose none.

--- /dev/null
+++ b/cmd/integration/loss_test.go
@@ -0,0 +1,70 @@
+package integration
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/standin/cluster"
+	"github.com/mangogate/mangogate/standin/loadgen"
+	"github.com/stretchr/testify/require"
+)
+
+var errNoManager = errors.New("no VM acts as manager")
+
+// servedAgain is how soon a key is served again after a loss.
+const servedAgain = 4 * time.Second
+
+// manager returns the VM that acts as manager.
+func manager(t *testing.T, c *cluster.Cluster) *cluster.VM {
+	t.Helper()
+	var found *cluster.VM
+	require.NoError(t, cluster.Wait(10*time.Second, func() error {
+		for _, v := range c.VMs {
+			if !v.Alive() {
+				continue
+			}
+			s, err := c.Status(t.Context(), v)
+			if err != nil {
+				return err
+			}
+			for _, other := range c.VMs {
+				if other.Name == s.VMs[0].Manager && other.Alive() {
+					found = other
+					return nil
+				}
+			}
+		}
+		return errNoManager
+	}))
+	return found
+}
+
+// Guards against a loss that stops the rest: a VM, the manager and a server are
+// killed in turn under load, and every key is served again within the limit.
+func TestLossOfVMManagerAndServer(t *testing.T) {
+	c := deployment(t, nil)
+	status := startLoad(t, c, "status", nil)
+	bookings := startLoad(t, c, "bookings", func(cfg *loadgen.Config) { cfg.Seed = 2 })
+	status.waitServed(200)
+
+	boss := manager(t, c)
+	for _, v := range c.VMs {
+		if v != boss {
+			require.NoError(t, v.Kill())
+			break
+		}
+	}
+	status.waitServed(600)
+	require.NoError(t, manager(t, c).Kill())
+	status.waitServed(1200)
+	require.NoError(t, c.Targets[0].Kill())
+	status.waitServed(1200)
+
+	for _, l := range []*load{status, bookings} {
+		report, _ := l.stop()
+		require.LessOrEqual(t, report.KeyGaps[0].MS, float64(servedAgain.Milliseconds()), "unavailable: %v", report.KeyGaps[0])
+		l.reports <- report
+	}
+	requireSafe(t, c, status, bookings)
+}
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/standin/faultproxy"
+	"github.com/mangogate/mangogate/standin/target"
 	"github.com/pkg/errors"
 )
 
@@ -188,7 +190,7 @@
 	}
 	args := []string{
 		"target", "--listen", address, "--name", name, "--service", s.Name, "--ownership", string(s.Ownership),
-		"--key-template", "/" + s.Name + "/{key}", "--slots", fmt.Sprint(targetSlots),
+		"--key-template", "/" + s.Name + "/{key}", "--slots", fmt.Sprint(targetSlots), "--ledger-file", c.ledgerFile(),
 	}
 	if s.ChecksFences {
 		args = append(args, "--checks-fences")
@@ -213,6 +215,25 @@
 	return nil
 }
 
+func (c *Cluster) ledgerFile() string { return filepath.Join(c.cfg.Dir, "executions") }
+
+// Executions returns what all targets executed over all their starts.
+func (c *Cluster) Executions() ([]target.Execution, error) {
+	data, err := os.ReadFile(c.ledgerFile())
+	if err != nil {
+		return nil, errors.Wrap(err, "read executions")
+	}
+	var out []target.Execution
+	for d := json.NewDecoder(bytes.NewReader(data)); d.More(); {
+		var e target.Execution
+		if err := d.Decode(&e); err != nil {
+			return nil, errors.Wrap(err, "decode executions")
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
+
 // Restart starts a target's process again at the same address.
 func (t *Target) Restart() error {
 	_, err := t.start()
--- a/standin/loadgen/config.go
+++ b/standin/loadgen/config.go
@@ -56,6 +56,8 @@
 
 	Seed  int64  `json:"seed"`
 	RunID string `json:"run_id"` // begins the idempotency keys; empty means a random one
+	// Stop ends the sending when it is closed; answers are still awaited.
+	Stop <-chan struct{} `json:"-"`
 	// OnResult is called for each request when it ends, by several goroutines.
 	OnResult func(Result) `json:"-"`
 }
--- a/standin/loadgen/run.go
+++ b/standin/loadgen/run.go
@@ -42,6 +42,13 @@
 	r := &runner{cfg: cfg, client: &http.Client{Transport: transport}, rec: newRecorder(began)}
 	sending, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
+	go func() {
+		select {
+		case <-cfg.Stop:
+			cancel()
+		case <-sending.Done():
+		}
+	}()
 	if cfg.Rate > 0 {
 		r.open(sending, ctx, began)
 	} else {
