Refuse a change of owner under the same fence, and hold reads for 2 s

Cause: replay accepted another owner under an equal fence, and a shard twice in one record. A held read on a silent connection ended only after 7 s, beyond the 5 s in which a configuration has to be in force.

Ruled out: keepalive for the second; a proxy that holds the connection answers it.

Change: checkFences; longPoll 2 s and a platform timeout of 1 s by default.

Figures: worst time to notice a silent connection to the log 7 s before, 3 s after (timeout and hold added up).

--- a/core/control/state.go
+++ b/core/control/state.go
@@ -209,10 +209,8 @@
 	if c.Base != s.assignVersion {
 		return Verdict{Reason: ReasonBase, Winner: s.assignVersion, By: s.manager}
 	}
-	for _, a := range c.Shards {
-		if old, ok := s.assignments[ShardKey{a.Service, a.Shard}]; ok && a.Fence < old.Fence {
-			return Verdict{Reason: ReasonInvalid, Detail: fmt.Sprintf("fence of %s/%d falls from %d to %d", a.Service, a.Shard, old.Fence, a.Fence)}
-		}
+	if detail := s.checkFences(c.Shards); detail != "" {
+		return Verdict{Reason: ReasonInvalid, Detail: detail}
 	}
 	for _, a := range c.Shards {
 		a.Standbys = append([]string(nil), a.Standbys...)
@@ -223,6 +221,26 @@
 	return Verdict{Accepted: true}
 }
 
+// checkFences returns what is wrong with the fences of a change: they must not
+// fall, and must rise when the owner changes.
+func (s *State) checkFences(shards []ShardAssignment) string {
+	seen := make(map[ShardKey]bool, len(shards))
+	for _, a := range shards {
+		key := ShardKey{a.Service, a.Shard}
+		old, ok := s.assignments[key]
+		switch {
+		case seen[key]:
+			return fmt.Sprintf("shard %s/%d is assigned twice", a.Service, a.Shard)
+		case ok && a.Fence < old.Fence:
+			return fmt.Sprintf("fence of %s/%d falls from %d to %d", a.Service, a.Shard, old.Fence, a.Fence)
+		case ok && a.Fence == old.Fence && a.Owner != old.Owner:
+			return fmt.Sprintf("owner of %s/%d changes from %s to %s under fence %d", a.Service, a.Shard, old.Owner, a.Owner, a.Fence)
+		}
+		seen[key] = true
+	}
+	return ""
+}
+
 // Next returns the offset of the next record to apply.
 func (s *State) Next() uint64 { return s.next }
 
--- a/node/callers/prepare.go
+++ b/node/callers/prepare.go
@@ -45,7 +45,7 @@
 
 // prepare turns an HTTP request into a dispatch request.
 func (l *Listener) prepare(w http.ResponseWriter, r *http.Request) (inventory.Service, *dispatch.Request, *refusal) {
-	rule, service, ok := l.match(r.URL.Path)
+	rule, service, ok := l.match(r.URL.EscapedPath())
 	if !ok {
 		return service, nil, &refusal{http.StatusNotFound, dispatch.ReasonNoRule,
 			fmt.Sprintf("No rule matches the path %q.", r.URL.Path)}
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -23,7 +23,10 @@
 )
 
 const (
-	longPoll     = 5 * time.Second // a read is held open for this long when there is nothing new
+	// A read is held open for this long when there is nothing new. A connection
+	// gone silent is noticed after this and the client's timeout, which has to
+	// stay within the 5 s for a change of the configuration.
+	longPoll     = 2 * time.Second
 	pageRecords  = 256
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = time.Second
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -84,7 +84,7 @@
 func Defaults() Settings {
 	return Settings{
 		Callers:  Callers{MaxConcurrent: 4096, MaxHeaderBytes: 16 << 10},
-		Platform: Platform{Timeout: jsonc.Duration(2 * time.Second)},
+		Platform: Platform{Timeout: jsonc.Duration(time.Second)},
 		Members:  8,
 		LogLevel: "info",
 		Shutdown: Shutdown{LeaveBalancer: jsonc.Duration(time.Second), Finish: jsonc.Duration(30 * time.Second)},
