Test the spread of standbys and the end of refusals

Cause: removing the limit per first standby, or the rule for the only request common to two crashes, left all tests green.

Ruled out: relying on the checks after single losses, which start from a fresh placement.

Change: the placement property test also bounds the first standbys of each owner; a table test fixes when refusals end.

Conclusion: nothing in the code had to change.

--- a/core/placement/assign_test.go
+++ b/core/placement/assign_test.go
@@ -104,6 +104,7 @@
 	for name, c := range counts {
 		require.LessOrEqual(t, c, ceiling[name], "shards of %s", name)
 	}
+	first := map[[2]string]int{} // shards by owner and first standby
 	for i, s := range after {
 		want := min(maxStandbys, len(ceiling)-1)
 		require.Len(t, s.Standbys, want, "shard %d", i)
@@ -114,6 +115,9 @@
 			}
 		}
 		for k, name := range s.Standbys {
+			if k == 0 {
+				first[[2]string{s.Owner, name}]++
+			}
 			require.NotEqual(t, s.Owner, name)
 			require.NotContains(t, s.Standbys[:k], name)
 			require.True(t, known[name].Available)
@@ -122,6 +126,27 @@
 			}
 		}
 	}
+	for pair, n := range first {
+		require.LessOrEqual(t, n, evenShare(servers, known[pair[0]], known[pair[1]], counts[pair[0]])+1, "shards of %s with the first standby %s", pair[0], pair[1])
+	}
+}
+
+// evenShare is the number of an owner's shards that a standby takes at an even
+// spread over the available servers in other data centres.
+func evenShare(servers []Server, owner, standby Server, shards int) int {
+	apart, all := 0.0, 0.0
+	for _, s := range servers {
+		if s.Available && s.Name != owner.Name {
+			all += s.Weight
+			if s.DataCentre != owner.DataCentre {
+				apart += s.Weight
+			}
+		}
+	}
+	if apart == 0 {
+		apart = all
+	}
+	return int(math.Ceil(float64(shards)*standby.Weight/apart - 1e-9))
 }
 
 // Guards against needless moves, overfull servers, shards left on unavailable
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -128,6 +128,25 @@
 	require.Positive(t, twice, "no run came to a second crash")
 }
 
+// Guards against a crashing request that returns early because others were in
+// flight, and against innocent ones refused for the whole refusal.
+func TestRefusalEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		second []Fingerprint
+		end    time.Duration
+	}{
+		"alone":                  {[]Fingerprint{crasher}, 90 * time.Second},
+		"the only common one":    {[]Fingerprint{crasher, 9}, 90 * time.Second},
+		"one of two common ones": {[]Fingerprint{crasher, 7}, 60 * time.Second},
+	} {
+		s := New(DefaultConfig())
+		s.Crashed(0, "t1", "1", []Fingerprint{crasher, 7})
+		s.Crashed(30*time.Second, "t2", "1", c.second)
+		require.Equal(t, Refused, s.Check(c.end-1, crasher), name)
+		require.Equal(t, Clear, s.Check(c.end, crasher), name)
+	}
+}
+
 // Guards against a refusal that two VMs keep alive for each other, and against
 // needing two crashes on each VM.
 func TestSpread(t *testing.T) {
