Add the admission group with its cold ramp and deadline queue

Cause: a target must never get more at once than it bears, least of all after a cold start, and a slow target of a pool must not set the tail latency.

Ruled out: one queue for all; a retry that avoids a target at its head left that target's slots idle, so requests that avoid a target have lanes of their own. A usual service time that follows at 1/64 with every sample in full; a tenfold slowdown after 40 completions was then never a sign of cold.

Change: Group in core/admission. A shed at the full limit is a sign of cold and puts the target at one slot; below it the limit shrinks by one. A refusal pauses the target like a shed without shrinking it.

--- /dev/null
+++ b/core/admission/rules_test.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rig drives a group by hand.
+type rig struct {
+	g    *Group
+	now  time.Duration
+	next ID
+}
+
+func newRig(targets ...string) *rig {
+	r := &rig{g: NewGroup(DefaultConfig(1000))}
+	for _, name := range targets {
+		r.g.Step(0, TargetSeen{Target: name, BootID: "1", Slots: 3, Available: true})
+	}
+	return r
+}
+
+// arrive returns the ID, and the target if the request was started at once.
+func (r *rig) arrive(avoid string) (ID, string) {
+	r.next++
+	for _, a := range r.g.Step(r.now, Arrive{ID: r.next, Deadline: r.now + time.Minute, Avoid: avoid}) {
+		return a.(Start).ID, a.(Start).Target
+	}
+	return r.next, ""
+}
+
+func (r *rig) finish(id ID, result Result, took time.Duration) {
+	r.g.Step(r.now, Finish{ID: id, Result: result, ServiceTime: took})
+}
+
+// run runs requests one after another.
+func (r *rig) run(n int, took time.Duration, avoid string) {
+	for range n {
+		id, _ := r.arrive(avoid)
+		r.now += took
+		r.finish(id, ResultDone, took)
+	}
+}
+
+func (r *rig) limit() int { return r.g.Targets()[0].Limit }
+
+// Guards against a warm limit on a target that has turned cold.
+func TestSignsOfCold(t *testing.T) {
+	signs := map[string]func(*rig){
+		"shed":         func(r *rig) { id, _ := r.arrive(""); r.finish(id, ResultShed, 0) },
+		"service time": func(r *rig) { r.run(4, 10*time.Millisecond, "") },
+		"new process":  func(r *rig) { r.g.Step(r.now, TargetSeen{Target: "a", BootID: "2", Slots: 3, Available: true}) },
+		"grant": func(r *rig) {
+			r.g.Step(r.now, TargetSeen{Target: "a", BootID: "1", Slots: 3, Available: true, Granted: true})
+		},
+	}
+	for name, sign := range signs {
+		r := newRig("a")
+		r.run(40, time.Millisecond, "")
+		require.Equal(t, 3, r.limit())
+		first, _ := r.arrive("")
+		second, _ := r.arrive("")
+		sign(r)
+		require.Equal(t, 1, r.limit(), name)
+		// Requests that were started at the old limit do not count.
+		r.finish(first, ResultDone, time.Millisecond)
+		r.finish(second, ResultDone, time.Millisecond)
+		r.now += time.Second
+		if name != "service time" {
+			r.run(7, time.Millisecond, "")
+			require.Equal(t, 1, r.limit(), name)
+			r.run(1, time.Millisecond, "")
+			require.Equal(t, 2, r.limit(), name)
+		}
+	}
+}
+
+// Guards against a target that keeps shedding and is tried at a fixed rate.
+func TestPauseDoubles(t *testing.T) {
+	r := newRig("a")
+	for _, pause := range []int{100, 200, 400, 800, 1000, 1000} {
+		id, target := r.arrive("")
+		require.Equal(t, "a", target)
+		r.finish(id, ResultShed, 0)
+		id, target = r.arrive("")
+		require.Empty(t, target)
+		at, _ := r.g.NextTick(r.now)
+		require.Equal(t, r.now+time.Duration(pause)*time.Millisecond, at)
+		r.now = at
+		require.Len(t, r.g.Step(r.now, Tick{}), 1)
+		r.g.Step(r.now, Finish{ID: id, Result: ResultCancelled})
+	}
+}
+
+// Guards against a start on a slow target while a fast one is about to finish,
+// and against a slow target that stays unused behind a long queue.
+func TestWaitsForFasterTarget(t *testing.T) {
+	r := newRig("fast", "slow")
+	r.run(30, time.Millisecond, "slow")
+	r.run(30, 10*time.Millisecond, "fast")
+	for range 3 {
+		_, target := r.arrive("")
+		require.Equal(t, "fast", target)
+	}
+	_, target := r.arrive("")
+	require.Empty(t, target, "the fast target is expected to finish it earlier")
+	_, target = r.arrive("fast")
+	require.Empty(t, target)
+	for i := 0; target == ""; i++ {
+		_, target = r.arrive("")
+		require.Less(t, i, 50)
+	}
+	require.Equal(t, "slow", target)
+}
+
+// Guards against a target that recovered and is never used again.
+func TestRecoveredTargetIsUsedAgain(t *testing.T) {
+	calls, late := 0, map[string]int{}
+	simulate(t, poisson(1, 30_000, 2400, 5*time.Millisecond), 9, func(i, _, done int) float64 {
+		if calls++; calls > 25_000 {
+			late[fmt.Sprint(i)]++
+		}
+		if i == 0 && done < 20 {
+			return 10
+		}
+		return 1
+	})
+	require.Greater(t, late["0"], 250, "of 5000 starts on 9 targets")
+}
