--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -7,8 +7,13 @@
 	maxPause = time.Second
 	// A tenfold slowdown is a sign of cold after 4 completions at weight 1/8.
 	recentWeight = 1.0 / 8
-	// The usual service time must not follow the recent one at once.
-	usualWeight = 1.0 / 64
+	// The usual service time must not follow the recent one at once: with 1/64
+	// and samples counted in full, a tenfold slowdown was never a sign of cold.
+	// Samples are therefore also cut at ColdFactor times the usual.
+	usualWeight = 1.0 / 128
+	// The mean of this many first samples is the first usual service time; no
+	// sign of cold is taken from service times before.
+	usualSamples = 32
 	// Probes are rare, so each must count more, or a target that recovered
 	// would stay unused for long.
 	probeWeight = 1.0 / 2
@@ -92,7 +97,7 @@
 	switch ev.Result {
 	case ResultDone:
 		t.pauses, t.failures, t.penaltyUntil = 0, 0, 0
-		t.sample(took, r.probe)
+		t.sample(took, r.probe, cfg.ColdFactor)
 		t.ramp(r, cfg)
 	case ResultShed:
 		t.shed()
@@ -113,14 +118,18 @@
 	}
 }
 
-func (t *target) sample(took float64, probe bool) {
+func (t *target) sample(took float64, probe bool, coldFactor float64) {
 	t.samples++
 	weight := max(recentWeight, 1/float64(t.samples))
 	if probe {
 		weight = max(weight, probeWeight)
 	}
 	t.recent += weight * (took - t.recent)
-	t.usual += max(usualWeight, 1/float64(t.samples)) * (took - t.usual)
+	if t.samples <= usualSamples {
+		t.usual += (took - t.usual) / float64(t.samples)
+		return
+	}
+	t.usual += usualWeight * (min(took, coldFactor*t.usual) - t.usual)
 }
 
 // slow counts a lower bound of a service time. It leaves the usual one alone.
@@ -131,7 +140,7 @@
 }
 
 func (t *target) ramp(r *request, cfg *Config) {
-	if t.samples >= cfg.RampCompletions && t.recent > cfg.ColdFactor*t.usual {
+	if t.samples > usualSamples && t.recent > cfg.ColdFactor*t.usual {
 		t.setLimit(1)
 		return
 	}
