Bind a dispatcher to its process, and count only complete copies

Cause: a VM that was killed and started again before its lease had ended would have gone on as keeper of the write intents with an empty table. Found by reading, before a test had shown it.

Ruled out: waiting a lease before a new process accepts a map; a restart would cost every group of the VM 1.2 s more.

Change: a group's map entry names the boot id of the dispatcher's process; the manager gives a restarted copy a new epoch; an intent counts as recorded when all copies stored it and at least one of them is complete; a VM that is no longer a copy is not complete. A new manager's first map carries a lease, counted from the clock that the VM reported with its old map, which saves one heartbeat (200 ms) at each change of manager.

--- a/cmd/integration/loss_test.go
+++ b/cmd/integration/loss_test.go
@@ -72,3 +72,17 @@
 	}
 	requireSafe(t, c, status, bookings)
 }
+
+// Guards against a VM whose process is started again before its lease has
+// ended: it has lost the write intents and must not dispatch as if it had them.
+func TestQuickRestartOfEveryVM(t *testing.T) {
+	c := deployment(t, nil)
+	l := startLoad(t, c, "bookings", func(cfg *loadgen.Config) { cfg.ReadRatio = 0; cfg.Repeats = 6 })
+	for _, v := range c.VMs {
+		l.waitServed(150)
+		require.NoError(t, v.Kill())
+		require.NoError(t, v.Restart())
+	}
+	l.waitServed(300)
+	requireSafe(t, c, l)
+}
--- a/core/shardmap/shardmap.go
+++ b/core/shardmap/shardmap.go
@@ -59,7 +59,10 @@
 type Group struct {
 	// Dispatcher is the VM that sends the group's requests, once Active is set.
 	Dispatcher string
-	Active     bool
+	// DispatcherBoot is the boot id of that VM's process. A process that was
+	// started since then has lost the write intents and must not go on.
+	DispatcherBoot string
+	Active         bool
 	// Epoch grows with each change of the dispatcher or the copies.
 	Epoch  uint64
 	Copies []string // VMs that hold the write intents besides the dispatcher
@@ -68,6 +71,11 @@
 	UnknownUntilMS int64
 }
 
+// DispatchedBy tells whether a VM's process dispatches the group now.
+func (g Group) DispatchedBy(vm, bootID string) bool {
+	return g.Active && g.Dispatcher == vm && g.DispatcherBoot == bootID
+}
+
 // LedgerGroup returns the group that keeps the write intents of a service.
 func LedgerGroup(service string) string { return service }
 
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -162,7 +162,7 @@
 // MapInstalled implements mapstore.Listener.
 func (s *Service) MapInstalled(m *shardmap.Map) {
 	for name, entry := range m.Groups {
-		if entry.Active && entry.Dispatcher == s.vm {
+		if entry.DispatchedBy(s.vm, s.maps.BootID()) {
 			s.takeUp(name)
 		}
 	}
--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -104,7 +104,7 @@
 		return shardmap.Group{}, shardmap.Route{}, false
 	}
 	entry, ok := m.Groups[req.Group]
-	if !ok || !entry.Active || entry.Dispatcher != s.vm {
+	if !ok || !entry.DispatchedBy(s.vm, s.maps.BootID()) {
 		return entry, shardmap.Route{}, false
 	}
 	if req.Shard < 0 {
--- a/node/ledger/book.go
+++ b/node/ledger/book.go
@@ -43,10 +43,11 @@
 
 // follow takes over the group's map entry. It returns true when the copies
 // have to be brought to the new epoch, and the epoch that they may have.
-func (b *book) follow(g shardmap.Group, self string, now time.Duration) (syncCopies bool, previous uint64) {
+func (b *book) follow(g shardmap.Group, self, bootID string, now time.Duration) (syncCopies bool, previous uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if g.Epoch < b.epoch || (g.Epoch == b.epoch && b.keeper == (g.Active && g.Dispatcher == self)) {
+	keeps := g.DispatchedBy(self, bootID)
+	if g.Epoch < b.epoch || (g.Epoch == b.epoch && b.keeper == keeps) {
 		return false, 0
 	}
 	if !g.Active {
@@ -55,13 +56,16 @@
 		return false, 0
 	}
 	wasKeeper := b.keeper
-	if !wasKeeper || g.Dispatcher != self || !b.table.Renew(g.Epoch) {
+	if !wasKeeper || !keeps || !b.table.Renew(g.Epoch) {
 		b.table.Observe(g.Epoch)
 	}
 	previous = b.completeAt
 	b.epoch, b.copies = g.Epoch, slices.Clone(g.Copies)
-	b.keeper = g.Dispatcher == self
+	b.keeper = keeps
 	if !b.keeper {
+		if !slices.Contains(g.Copies, self) {
+			b.table.SetComplete(false) // writes are no longer copied here
+		}
 		return false, 0
 	}
 	if !wasKeeper {
@@ -112,6 +116,14 @@
 	return b.table.Lookup(key)
 }
 
+// maySend tells whether the copies that stored an intent are still the ones
+// that matter.
+func (b *book) maySend(e dedupe.Entry, epoch uint64, copies []string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.keeper && b.epoch == epoch && slices.Equal(b.copies, copies) && b.table.MaySend(e.Key, e.Attempt)
+}
+
 // currentCopies returns the copies and the epoch under which intents go to them.
 func (b *book) currentCopies() (copies []string, epoch uint64, keeper bool) {
 	b.mu.Lock()
--- a/node/ledger/copies.go
+++ b/node/ledger/copies.go
@@ -48,7 +48,10 @@
 		return errNotCopied
 	}
 	address := m.Peers[vm]
-	reply, err := l.callImport(address, ImportArgs{Group: b.group, Epoch: epoch, PrevEpoch: previous})
+	b.mu.Lock()
+	complete := b.table.IsComplete()
+	b.mu.Unlock()
+	reply, err := l.callImport(address, ImportArgs{Group: b.group, Epoch: epoch, PrevEpoch: previous, Complete: complete})
 	if err != nil || !reply.NeedFull {
 		return err
 	}
@@ -57,7 +60,7 @@
 	b.mu.Unlock()
 	for {
 		n := min(importChunk, len(entries))
-		args := ImportArgs{Group: b.group, Epoch: epoch, Full: true, Last: n == len(entries), Entries: entries[:n]}
+		args := ImportArgs{Group: b.group, Epoch: epoch, Full: true, Last: n == len(entries), Complete: complete, Entries: entries[:n]}
 		if _, err := l.callImport(address, args); err != nil {
 			return err
 		}
@@ -113,9 +116,9 @@
 	for _, e := range args.Entries {
 		e.ChangedAt = now // the keeper's clock means nothing here
 		switch b.table.Copy(now, e) {
-		case dedupe.Run, dedupe.Incomplete:
-			// An incomplete copy stores the entry; it is never chosen as the
-			// next keeper before it is complete.
+		case dedupe.Run:
+		case dedupe.Incomplete:
+			reply.Incomplete = true
 		case dedupe.OldEpoch:
 			reply.OldEpoch = true
 		case dedupe.Full:
@@ -143,6 +146,7 @@
 			return nil
 		}
 		b.completeAt = args.Epoch
+		b.table.SetComplete(args.Complete)
 		return nil
 	}
 	for i := range args.Entries {
@@ -153,6 +157,7 @@
 	}
 	if args.Last {
 		b.completeAt = args.Epoch
+		b.table.SetComplete(args.Complete)
 	}
 	return nil
 }
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -144,7 +144,7 @@
 			continue
 		}
 		b := l.lookup(name)
-		if syncCopies, previous := b.follow(g, l.vm, l.clock.Now()); syncCopies {
+		if syncCopies, previous := b.follow(g, l.vm, l.maps.BootID(), l.clock.Now()); syncCopies {
 			l.events.Record(timeline.Event{Kind: "ledger.kept", Group: name, Term: m.Term,
 				Detail: "copies " + strings.Join(g.Copies, " ")})
 			l.syncCopies(b, g, previous)
@@ -265,7 +265,7 @@
 		err := l.copyToAll(ctx, copies, CopyArgs{Group: b.group, Epoch: epoch, Entries: []dedupe.Entry{entry}, Withdraw: earlier})
 		earlier = append(earlier, Withdrawal{Key: entry.Key, Epoch: entry.Epoch, Attempt: entry.Attempt})
 		if err == nil {
-			if after, e, k := b.currentCopies(); k && e == epoch && slices.Equal(after, copies) {
+			if b.maySend(entry, epoch, copies) {
 				return BeginReply{Decision: Run}
 			}
 			continue // the copies changed: the new ones have to know too
@@ -285,7 +285,8 @@
 	return BeginReply{Decision: Moved}
 }
 
-// copyToAll returns nil when every copy has stored the entries.
+// copyToAll returns nil when every copy has stored the entries and at least
+// one of them is complete: the next keeper is chosen among the complete ones.
 func (l *Ledger) copyToAll(ctx context.Context, copies []string, args CopyArgs) error {
 	m := l.maps.Current()
 	if m == nil {
@@ -295,6 +296,7 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
+	var complete atomic.Bool
 	for _, vm := range copies {
 		address := m.Peers[vm]
 		group.Go(func() error {
@@ -307,11 +309,19 @@
 				return errMayHaveRun
 			case reply.OldEpoch || reply.Full:
 				return errNotCopied
+			case !reply.Incomplete:
+				complete.Store(true)
 			}
 			return nil
 		})
 	}
-	return group.Wait()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if len(copies) > 0 && !complete.Load() {
+		return errNotCopied
+	}
+	return nil
 }
 
 // Finish ends an attempt, here or at the VM that keeps the group. Towards
--- a/node/ledger/messages.go
+++ b/node/ledger/messages.go
@@ -77,6 +77,9 @@
 type CopyReply struct {
 	OldEpoch bool // a newer dispatcher is known
 	Full     bool
+	// Incomplete says that the copy stored the entries but does not know all
+	// earlier ones.
+	Incomplete bool
 	// MayHaveRun says that the copy knows of an earlier attempt that may have run.
 	MayHaveRun bool
 }
@@ -89,6 +92,7 @@
 	PrevEpoch uint64
 	Full      bool
 	Last      bool // the last chunk of a full import
+	Complete  bool // the keeper knows every write of the retention
 	Entries   []dedupe.Entry
 }
 
--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -24,6 +24,7 @@
 // groupState is a group's map entry and how it came about.
 type groupState struct {
 	entry      shardmap.Group
+	boots      map[string]string // boot ids of the copies at the last change
 	dataCentre string
 	// previous are VMs that dispatched before and may not have stopped.
 	previous  []string
@@ -98,22 +99,51 @@
 		t.groups[name] = g
 	}
 	g.dataCentre = dataCentre
-	want := placement.Dispatchers(name, dataCentre, vms, placement.Dispatch{Dispatcher: g.entry.Dispatcher, Copies: g.entry.Copies})
+	current := placement.Dispatch{Dispatcher: g.entry.Dispatcher, Copies: g.entry.Copies}
+	restarted := t.bootOf(g.entry.Dispatcher) != g.entry.DispatcherBoot
+	if restarted {
+		current.Dispatcher = "" // a process started since knows no write intents
+	}
+	want := placement.Dispatchers(name, dataCentre, vms, current)
 	if !shardmap.IsLedger(name) {
 		want.Copies = nil
 	}
 	switch {
 	case want.Dispatcher == "":
-	case want.Dispatcher != g.entry.Dispatcher:
+	case want.Dispatcher != g.entry.Dispatcher || restarted:
 		t.changeDispatcher(now, name, g, want, vms)
-	case !sameSet(want.Copies, g.entry.Copies):
-		t.setEntry(now, name, g, shardmap.Group{
-			Dispatcher: g.entry.Dispatcher, Active: g.entry.Active, Copies: want.Copies, UnknownUntilMS: g.entry.UnknownUntilMS,
-		})
+	case !sameSet(want.Copies, g.entry.Copies) || t.copyRestarted(g):
+		t.changeCopies(now, name, g, want.Copies)
 	}
 	t.activate(now, name, g)
 }
 
+// bootOf returns the boot id of a VM, empty while it is not known.
+func (t *tenure) bootOf(vm string) string {
+	if v := t.vms[vm]; v != nil {
+		return v.bootID
+	}
+	return ""
+}
+
+// copyRestarted tells whether the process of a copy was started again; it has
+// to be brought up to date under a new epoch.
+func (t *tenure) copyRestarted(g *groupState) bool {
+	for _, vm := range g.entry.Copies {
+		if boot, known := g.boots[vm]; known && boot != t.bootOf(vm) {
+			return true
+		}
+	}
+	return false
+}
+
+// changeCopies sets the copies of a group whose dispatcher stays.
+func (t *tenure) changeCopies(now time.Duration, name string, g *groupState, copies []string) {
+	entry := g.entry
+	entry.Copies = copies
+	t.setEntry(now, name, g, entry)
+}
+
 func sameSet(a, b []string) bool {
 	if len(a) != len(b) {
 		return false
@@ -130,6 +160,10 @@
 func (t *tenure) setEntry(now time.Duration, name string, g *groupState, entry shardmap.Group) {
 	t.epochs++
 	entry.Epoch = t.term<<epochBits | t.epochs
+	g.boots = map[string]string{}
+	for _, vm := range entry.Copies {
+		g.boots[vm] = t.bootOf(vm)
+	}
 	if entry.Active {
 		g.noteEpoch(entry.Epoch)
 	}
@@ -177,6 +211,7 @@
 		g.previous = append(g.previous, old.Dispatcher)
 	}
 	g.waitingSince = 0
+	entry.DispatcherBoot = t.bootOf(entry.Dispatcher)
 	t.setEntry(now, name, g, entry)
 }
 
@@ -203,7 +238,7 @@
 // copy up to date.
 func (t *tenure) waitForCopy(now time.Duration, name string, g *groupState, want placement.Dispatch, vms []placement.VM) bool {
 	v := t.vms[g.entry.Dispatcher]
-	if v == nil || !v.reachable(now) || !g.entry.Active {
+	if v == nil || !v.reachable(now) || !g.entry.Active || v.bootID != g.entry.DispatcherBoot {
 		return false
 	}
 	if g.waitingSince == 0 {
@@ -212,9 +247,7 @@
 	copies := append([]string{want.Dispatcher}, want.Copies...)
 	copies = copies[:min(2, len(copies))]
 	if !sameSet(copies, g.entry.Copies) {
-		t.setEntry(now, name, g, shardmap.Group{
-			Dispatcher: g.entry.Dispatcher, Active: true, Copies: copies, UnknownUntilMS: g.entry.UnknownUntilMS,
-		})
+		t.changeCopies(now, name, g, copies)
 	}
 	return now-g.waitingSince < copyPatience
 }
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -28,8 +28,9 @@
 	address    string
 	member     bool
 
-	collected bool // has shown its map of earlier terms
-	collects  bool // is being asked
+	collected   bool // has shown its map of earlier terms
+	collectedAt time.Duration
+	collects    bool // is being asked
 
 	replied   bool
 	repliedAt time.Duration
@@ -42,9 +43,12 @@
 	sentAt  time.Duration
 }
 
+// heardAt returns when the clock reading that a lease can be counted from came in.
+func (v *vmState) heardAt() time.Duration { return max(v.repliedAt, v.collectedAt) }
+
 // reachable tells whether the VM may still hold a lease that this manager gave.
 func (v *vmState) reachable(now time.Duration) bool {
-	return v.replied && now < v.repliedAt+mapLeaseBound
+	return (v.replied || v.collected) && now < v.heardAt()+mapLeaseBound
 }
 
 func (v *vmState) busyShard(key control.ShardKey) bool {
@@ -122,15 +126,24 @@
 // BaseArgs asks a VM for the map that it holds.
 type BaseArgs struct{ Term uint64 }
 
-// BaseReply is the newest map that a VM holds.
-type BaseReply struct{ Map *shardmap.Map }
+// BaseReply is the newest map that a VM holds. BootID and Clock let the first
+// map of the term come with a lease.
+type BaseReply struct {
+	Map    *shardmap.Map
+	BootID string
+	Clock  time.Duration
+}
 
 // Base returns the map that this VM holds.
 func (r *receiver) Base(_ *BaseArgs, reply *BaseReply) error {
-	reply.Map = r.m.maps.Current()
+	*reply = r.m.ownBase()
 	return nil
 }
 
+func (m *Manager) ownBase() BaseReply {
+	return BaseReply{Clock: m.maps.Clock(), BootID: m.maps.BootID(), Map: m.maps.Current()}
+}
+
 // collect asks the VMs for the maps of earlier terms. A change of a dispatcher
 // takes effect only after more than half of the members hold it, so the newest
 // map of more than half shows every VM that may dispatch.
@@ -148,7 +161,7 @@
 }
 
 func (t *tenure) ask(name, address string) {
-	reply, err := t.base4(name, address)
+	reply, err := t.askBase(name, address)
 	if err != nil {
 		select {
 		case <-time.After(collectRetry):
@@ -165,16 +178,18 @@
 		if err != nil || t.sequence > 0 {
 			return
 		}
-		v.collected = true
+		v.collected, v.collectedAt = true, t.m.clock.Now()
+		v.clock, v.bootID = reply.Clock, reply.BootID
 		if reply.Map != nil && reply.Map.Newer(t.base) {
 			t.base = reply.Map
 		}
 	})
 }
 
-func (t *tenure) base4(name, address string) (*BaseReply, error) {
+func (t *tenure) askBase(name, address string) (*BaseReply, error) {
 	if name == t.m.cfg.VM {
-		return &BaseReply{Map: t.m.maps.Current()}, nil
+		own := t.m.ownBase()
+		return &own, nil
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, installTimeout)
 	defer cancel()
@@ -209,7 +224,7 @@
 	if v.installed >= sequence && !busy(v) {
 		return true
 	}
-	return now >= max(v.repliedAt, t.started)+mapLeaseBound
+	return now >= max(v.heardAt(), t.started)+mapLeaseBound
 }
 
 // vmList returns the VMs for the placement of dispatchers.
@@ -219,19 +234,13 @@
 		for _, v := range t.vms {
 			out = append(out, placement.VM{
 				Name: v.name, DataCentre: v.dataCentre,
-				Available: t.vmHeard(now, v) && !v.report.Leaving && !st.VMOut(v.name, v.dataCentre),
+				Available: v.reachable(now) && !v.report.Leaving && !st.VMOut(v.name, v.dataCentre),
 			})
 		}
 	})
 	return out
 }
 
-// vmHeard tells whether a VM counts as alive. Before the first map of the term
-// a VM that has shown its map does.
-func (t *tenure) vmHeard(now time.Duration, v *vmState) bool {
-	return v.reachable(now) || (v.collected && !v.replied && now < t.started+2*mapLeaseBound)
-}
-
 // installAll sends the map in force to each VM, or renews its lease.
 func (t *tenure) installAll(now time.Duration) {
 	if t.current == nil {
@@ -301,6 +310,6 @@
 		t.m.events.Record(timeline.Event{Kind: "vm.answers", Detail: vm, Term: t.term})
 	}
 	v.replied, v.repliedAt, v.clock, v.bootID = true, now, reply.Clock, reply.BootID
-	v.installed = reply.Sequence
+	v.installed = reply.Sequence // 0 for a process that was started since
 	v.report = reply.Report
 }
--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -151,6 +151,12 @@
 	return s.current
 }
 
+// BootID identifies this process.
+func (s *Store) BootID() string { return s.bootID }
+
+// Clock returns a reading that a lease of this VM can be counted from.
+func (s *Store) Clock() time.Duration { return s.clock.Now() }
+
 // Term returns the highest term seen and its manager.
 func (s *Store) Term() (term uint64, manager string) {
 	s.mu.Lock()
