Balance shards by load and bring dispatchers back to their data centres

Cause: placement knew only shard counts, and a VM that returned never got a dispatcher back.

Ruled out: taking every VM's rates; a VM that no longer dispatches a shard reports a fading rate for it, and 19 of 64 shards went to one server. Balancing in the first 15 s of a term; without loads the intended differences look like imbalance.

Change: dispatchers count requests by shard and report smoothed rates every 2 s; the manager balances every 5 s when a server is above its share by more than chance (3 standard deviations). At most 5 % of a service's shards and 2 dispatchers move in a round. A placement is planned from the newest logged assignment, so that a move that is not adopted yet is not taken back.

--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -50,6 +50,7 @@
 	mu         sync.Mutex
 	groups     map[string]*group
 	cancels    map[string]context.CancelFunc // by request id
+	loads      *shardLoads
 	quarantine *quarantine.State
 	alone      map[uint64]bool // suspects that run now, by fingerprint
 	budget     *retry.Budget
@@ -75,6 +76,7 @@
 	return &Service{
 		vm: vm, clock: c, events: events, logger: logger, ctx: ctx, cancel: cancel,
 		groups: map[string]*group{}, cancels: map[string]context.CancelFunc{},
+		loads:      newShardLoads(),
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
 		alone:      map[uint64]bool{},
 		budget:     retry.NewBudget(retry.DefaultBudgetConfig(), c.Now()),
@@ -115,9 +117,10 @@
 
 // Start runs the timers.
 func (s *Service) Start(context.Context) error {
-	s.wg.Add(2)
+	s.wg.Add(3)
 	go s.every(tickInterval, s.tick)
 	go s.every(loadInterval, s.observeAll)
+	go s.every(loadWindow, s.loads.endWindow)
 	return nil
 }
 
@@ -211,6 +214,7 @@
 	s.replica.View(func(st *control.State) {
 		r.ConfigVersion, r.AssignVersion = st.ConfigVersion(), st.AssignVersion()
 	})
+	r.Loads = s.loads.report()
 	m := s.maps.Current()
 	for _, g := range s.allGroups() {
 		busy, shards := g.busy(m)
--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mangogate/mangogate/core/admission"
+	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/dedupe"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/retry"
@@ -209,6 +210,9 @@
 	}
 	g.started(place.id, running{target: target.Name, shard: req.Shard, fence: route.Fence, fingerprint: fingerprint(req)})
 	s.counters.sent.Inc(1)
+	if req.Shard >= 0 {
+		s.loads.add(control.ShardKey{Service: req.Service, Shard: req.Shard})
+	}
 	start := s.clock.Now()
 	answer, err := s.targets.Do(ctx, targets.Request{
 		ID: fmt.Sprintf("%s-%d", req.ID, p.attempts), Target: target.Name, Address: target.Address,
--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -222,18 +222,23 @@
 // completeCopy returns an available VM whose copy is complete.
 func (t *tenure) completeCopy(name string, g *groupState, vms []placement.VM) (string, bool) {
 	for _, candidate := range g.entry.Copies {
-		v := t.vms[candidate]
-		i := slices.IndexFunc(vms, func(p placement.VM) bool { return p.Name == candidate && p.Available })
-		if v == nil || i < 0 {
-			continue
-		}
-		if r, ok := v.group(name); ok && r.Complete && slices.Contains(g.dataEpochs, r.Epoch) {
+		available := slices.ContainsFunc(vms, func(p placement.VM) bool { return p.Name == candidate && p.Available })
+		if available && t.isCompleteCopy(name, g, candidate) {
 			return candidate, true
 		}
 	}
 	return "", false
 }
 
+func (t *tenure) isCompleteCopy(name string, g *groupState, vm string) bool {
+	v := t.vms[vm]
+	if v == nil {
+		return false
+	}
+	r, ok := v.group(name)
+	return ok && r.Complete && slices.Contains(g.dataEpochs, r.Epoch)
+}
+
 // waitForCopy gives a dispatcher that is leaving in good order time to bring a
 // copy up to date.
 func (t *tenure) waitForCopy(now time.Duration, name string, g *groupState, want placement.Dispatch, vms []placement.VM) bool {
--- a/node/manager/shards.go
+++ b/node/manager/shards.go
@@ -98,10 +98,40 @@
 func (t *tenure) planService(now time.Duration, st *control.State, s inventory.Service) []control.ShardAssignment {
 	shards := make([]placement.Shard, s.Shards)
 	for i := range shards {
-		a := t.assigned[control.ShardKey{Service: s.Name, Shard: i}]
+		a := t.newest(st, control.ShardKey{Service: s.Name, Shard: i})
 		shards[i] = placement.Shard{Owner: a.Owner, Standbys: a.Standbys}
 	}
-	next := placement.Assign(s.Name, t.serverList(now, st, s.Name), shards)
+	servers := t.serverList(now, st, s.Name)
+	if now-t.started >= loadsAfter {
+		t.withLoads(now, s.Name, shards)
+	} else if settled(shards, servers) {
+		return t.missing(now, st, s, shards)
+	}
+	next := placement.Assign(s.Name, servers, shards)
+	return t.missing(now, st, s, t.balanced(now, s.Name, servers, next))
+}
+
+// settled tells whether every shard has an available owner.
+func settled(shards []placement.Shard, servers []placement.Server) bool {
+	available := map[string]bool{}
+	for _, s := range servers {
+		available[s.Name] = s.Available
+	}
+	return !slices.ContainsFunc(shards, func(s placement.Shard) bool { return !available[s.Owner] })
+}
+
+// newest returns the newest assignment of a shard: a promotion that is not
+// logged yet, or the logged one even if it is not adopted yet.
+func (t *tenure) newest(st *control.State, key control.ShardKey) control.ShardAssignment {
+	have := t.assigned[key]
+	if durable, ok := st.Assignment(key); ok && durable.Fence > have.Fence {
+		return durable
+	}
+	return have
+}
+
+// missing returns the assignments of a placement that the log lacks.
+func (t *tenure) missing(now time.Duration, st *control.State, s inventory.Service, next []placement.Shard) []control.ShardAssignment {
 	var record []control.ShardAssignment
 	for i, want := range next {
 		key := control.ShardKey{Service: s.Name, Shard: i}
@@ -122,15 +152,13 @@
 // the log has handed out; the promotion is provisional until it is logged.
 func (t *tenure) decide(now time.Duration, key control.ShardKey, durable control.ShardAssignment, want placement.Shard) control.ShardAssignment {
 	have := t.assigned[key]
+	if durable.Fence > have.Fence {
+		have = durable // logged, to be adopted
+	}
 	a := control.ShardAssignment{Service: key.Service, Shard: key.Shard, Owner: want.Owner, Standbys: want.Standbys, Fence: have.Fence}
 	if want.Owner == have.Owner {
 		return a
 	}
-	// A move that is logged but not adopted yet keeps its fence.
-	if durable.Owner == want.Owner && durable.Fence > have.Fence {
-		a.Fence = durable.Fence
-		return a
-	}
 	top := max(have.Fence, durable.Fence, t.table.HighestFence(lease.Shard{Service: key.Service, Index: key.Shard}))
 	if s := t.servers[have.Owner]; s != nil && s.lost && slices.Contains(durable.Standbys, want.Owner) {
 		a.Fence = top + 1
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -43,6 +43,10 @@
 	routes   map[string][]shardmap.Route
 	blocked  map[control.ShardKey]blockedShard
 
+	loads         map[control.ShardKey]shardLoad
+	balancedAt    map[string]time.Duration // by service
+	dispatchersAt time.Duration
+
 	groups   map[string]*groupState
 	epochs   uint64
 	base     *shardmap.Map // newest map of earlier terms that a VM reported
@@ -64,6 +68,7 @@
 		vms: map[string]*vmState{}, servers: map[string]*serverState{},
 		assigned: map[control.ShardKey]control.ShardAssignment{}, routes: map[string][]shardmap.Route{},
 		blocked: map[control.ShardKey]blockedShard{}, groups: map[string]*groupState{},
+		loads: map[control.ShardKey]shardLoad{}, balancedAt: map[string]time.Duration{},
 	}
 	t.table = lease.NewTable(lease.DefaultConfig(), t.started)
 	m.replica.View(func(st *control.State) { t.fresh = !st.Published() })
@@ -127,6 +132,7 @@
 		t.writeSnapshot()
 	}
 	t.planGroups(now)
+	t.balanceDispatchers(now)
 	t.publish(now)
 	t.installAll(now)
 }
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -312,4 +312,5 @@
 	v.replied, v.repliedAt, v.clock, v.bootID = true, now, reply.Clock, reply.BootID
 	v.installed = reply.Sequence // 0 for a process that was started since
 	v.report = reply.Report
+	t.noteLoads(now, vm, reply.Report.Loads)
 }
--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -55,6 +55,13 @@
 	Shard   int
 }
 
+// ShardLoad is the rate of requests for a shard.
+type ShardLoad struct {
+	Service   string
+	Shard     int
+	PerSecond float32
+}
+
 // Report is the state that a VM sends back to the manager.
 type Report struct {
 	ConfigVersion uint64 // applied from the log
@@ -63,7 +70,8 @@
 	Groups        []GroupReport
 	BusyShards    []ShardReport
 	Refusals      []Refusal
-	Draining      []string // targets that say that they are leaving
+	Loads         []ShardLoad // sent every few seconds
+	Draining      []string    // targets that say that they are leaving
 }
 
 // InstallReply answers InstallArgs.
