Count the bytes of each kind of connection

Ruled out: counters of the kernel, which are per network namespace and so do not tell processes on one machine apart. Change: node/wire counts bytes and system calls of peer connections (as client and as server), log service connections, and target connections (requests and control apart). TLS is counted as it crosses the network. Client.control of node/targets is named call, because control now names its counters. Conclusion: /metrics shows KIND.bytes_in, bytes_out, reads and writes.

--- a/node/logclient/logclient.go
+++ b/node/logclient/logclient.go
@@ -15,7 +15,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mangogate/mangogate/node/wire"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -40,6 +42,8 @@
 	// Client replaces the HTTP client; its transport then decides about
 	// keepalive and TCP_USER_TIMEOUT.
 	Client *http.Client
+	// Metrics registers the traffic of the default HTTP client; nil means none.
+	Metrics metrics.Registry
 }
 
 // Client sends requests to one log service. It is safe for concurrent use.
@@ -77,7 +81,7 @@
 		c.timeout = defaultTimeout
 	}
 	if c.http == nil {
-		c.http = newHTTPClient(c.timeout)
+		c.http = newHTTPClient(c.timeout, wire.NewCounters("logclient", cfg.Metrics))
 	}
 	return c
 }
--- a/node/logclient/transport.go
+++ b/node/logclient/transport.go
@@ -1,11 +1,13 @@
 package logclient
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
 
+	"github.com/mangogate/mangogate/node/wire"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,7 +25,7 @@
 // newHTTPClient returns a client whose connections end when the peer has
 // acknowledged nothing for the timeout. Redirects are not followed: an append
 // would be sent twice.
-func newHTTPClient(timeout time.Duration) *http.Client {
+func newHTTPClient(timeout time.Duration, traffic *wire.Counters) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		Control: userTimeout(timeout),
@@ -31,9 +33,16 @@
 			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes,
 		},
 	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return traffic.Conn(conn), nil
+	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			IdleConnTimeout:     idleTrust,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true, // the limits on answers count bytes as sent
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/mangogate/mangogate/node/wire"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
@@ -48,6 +49,7 @@
 	key       []byte
 	tls       *tls.Config
 	condemned metrics.Counter
+	traffic   *wire.Counters
 
 	mu     sync.Mutex
 	peers  map[string]*connSet
@@ -75,6 +77,7 @@
 	return &Client{
 		key: key, tls: tlsConfig, peers: map[string]*connSet{},
 		condemned: metrics.GetOrRegisterCounter("peer.connections_condemned", registry),
+		traffic:   wire.NewCounters("peer.client", registry),
 	}
 }
 
@@ -143,6 +146,9 @@
 	defer close(cn.ready)
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
 	raw, err := d.Dial("tcp", address)
+	if err == nil {
+		raw = c.traffic.Conn(raw)
+	}
 	if err == nil && c.tls != nil {
 		raw = tls.Client(raw, tlsFor(c.tls, address))
 	}
--- a/node/peer/server.go
+++ b/node/peer/server.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/node/wire"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
@@ -24,6 +25,7 @@
 	tls     *tls.Config
 	logger  hclog.Logger
 	refused metrics.Counter
+	traffic *wire.Counters
 	rpc     *rpc.Server
 
 	mu       sync.Mutex
@@ -38,6 +40,7 @@
 	s := &Server{
 		address: address, key: key, tls: tlsConfig, logger: logger, rpc: rpc.NewServer(),
 		refused: metrics.GetOrRegisterCounter("peer.connections_refused", registry),
+		traffic: wire.NewCounters("peer.server", registry),
 		conns:   map[net.Conn]bool{},
 	}
 	_ = s.rpc.RegisterName("Ping", new(pinger)) // the receiver is fixed and valid
@@ -59,6 +62,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	l = s.traffic.Listener(l)
 	if s.tls != nil {
 		l = tls.NewListener(l, s.tls)
 	}
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/wire"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
@@ -99,6 +100,8 @@
 	scheme     string
 	mismatched metrics.Counter
 	truncated  metrics.Counter
+	requests   *wire.Counters
+	control    *wire.Counters // grants and load queries
 
 	mu         sync.Mutex
 	transports map[string]*http.Transport // by address
@@ -114,6 +117,8 @@
 		tls: tlsConfig, scheme: scheme, transports: map[string]*http.Transport{},
 		mismatched: metrics.GetOrRegisterCounter("targets.answers_mismatched", registry),
 		truncated:  metrics.GetOrRegisterCounter("targets.answers_truncated", registry),
+		requests:   wire.NewCounters("targets.requests", registry),
+		control:    wire.NewCounters("targets.control", registry),
 	}
 }
 
@@ -130,36 +135,40 @@
 	return nil
 }
 
-func (c *Client) transport(address string, connections int) *http.Transport {
+func (c *Client) transport(address string, connections int, traffic *wire.Counters) *http.Transport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.transports[address]
 	if t == nil {
 		t = &http.Transport{
-			DialContext:         c.dial,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return c.dial(ctx, network, address, traffic)
+			},
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     idleTrust,
 			DisableCompression:  true, // the answer is passed on as it is
 		}
 		if c.tls != nil {
-			t.DialTLSContext = c.dialTLS
+			t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+				return c.dialTLS(ctx, network, address, traffic)
+			}
 		}
 		c.transports[address] = t
 	}
 	return t
 }
 
-func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (c *Client) dial(ctx context.Context, network, address string, traffic *wire.Counters) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &gatedConn{Conn: raw}, nil
+	return &gatedConn{Conn: traffic.Conn(raw)}, nil
 }
 
-func (c *Client) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+func (c *Client) dialTLS(ctx context.Context, network, address string, traffic *wire.Counters) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
@@ -169,7 +178,7 @@
 	if cfg.ServerName == "" {
 		cfg.ServerName, _, _ = net.SplitHostPort(address)
 	}
-	conn := tls.Client(raw, cfg)
+	conn := tls.Client(traffic.Conn(raw), cfg)
 	if err := conn.HandshakeContext(ctx); err != nil {
 		raw.Close()
 		return nil, err
@@ -219,7 +228,7 @@
 	if err != nil {
 		return nil, &SendError{Step: "build request", Target: r.Target, Err: err}
 	}
-	resp, err := c.transport(r.Address, r.Connections).RoundTrip(req)
+	resp, err := c.transport(r.Address, r.Connections, c.requests).RoundTrip(req)
 	if err != nil {
 		written, reused := a.written()
 		step := "connect"
--- a/node/targets/control.go
+++ b/node/targets/control.go
@@ -57,7 +57,7 @@
 // Grant sends a grant to a target.
 func (c *Client) Grant(ctx context.Context, target, address string, g GrantRequest) (*GrantReply, error) {
 	var reply GrantReply
-	status, err := c.control(ctx, http.MethodPost, address, "/mangogate/grants", g, &reply)
+	status, err := c.call(ctx, http.MethodPost, address, "/mangogate/grants", g, &reply)
 	if err != nil {
 		return nil, errors.Wrapf(err, "grant to target %s", target)
 	}
@@ -73,7 +73,7 @@
 // Load asks a target for its load.
 func (c *Client) Load(ctx context.Context, target, address string) (*LoadReply, error) {
 	var reply LoadReply
-	status, err := c.control(ctx, http.MethodGet, address, "/mangogate/load", nil, &reply)
+	status, err := c.call(ctx, http.MethodGet, address, "/mangogate/load", nil, &reply)
 	if err != nil {
 		return nil, errors.Wrapf(err, "load of target %s", target)
 	}
@@ -85,13 +85,13 @@
 
 // Cancel asks a target to stop a request; the target may have finished it.
 func (c *Client) Cancel(ctx context.Context, target, address, requestID string) error {
-	_, err := c.control(ctx, http.MethodPost, address, "/mangogate/cancel?id="+url.QueryEscape(requestID), nil, nil)
+	_, err := c.call(ctx, http.MethodPost, address, "/mangogate/cancel?id="+url.QueryEscape(requestID), nil, nil)
 	return errors.Wrapf(err, "cancel at target %s", target)
 }
 
-// control uses connections of its own, so that control traffic never waits
+// call uses connections of its own, so that control traffic never waits
 // for a connection that requests hold.
-func (c *Client) control(ctx context.Context, method, address, path string, in, out any) (int, error) {
+func (c *Client) call(ctx context.Context, method, address, path string, in, out any) (int, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
@@ -104,7 +104,7 @@
 	if err != nil {
 		return 0, err
 	}
-	t := c.transport("control "+address, controlConnections)
+	t := c.transport("control "+address, controlConnections, c.control)
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		t.CloseIdleConnections() // the next query decides on a new connection
--- a/node/vm/vm.go
+++ b/node/vm/vm.go
@@ -84,7 +84,7 @@
 		return err
 	}
 	c, events := clock.New(), timeline.New(s.VM)
-	platform := logclient.New(logclient.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
+	platform := logclient.New(logclient.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), Metrics: v.registry})
 	v.maps = mapstore.New(c, events, log.Named("map"), boot)
 	v.dispatch = dispatch.New(s.VM, c, events, log.Named("dispatch"), v.registry)
 	v.callers = callers.New(s.VM, boot, s.Callers, tlsConfigs.callers, log.Named("callers"), v.registry)
