Measure the pure core and idle deployments over several sizes

Cause: docs/CAPACITY.md needs slopes that were measured here. Change: standin/cmd/capacity measures decisions in process and the control cost of idle processes, and fits least-squares lines; make capacity runs it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := ./core/... ./node/... ./standin/... ./cmd/...
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: run test race lint build soak fuzz measure
+.PHONY: run test race lint build soak fuzz measure capacity
 
 run: ## Runs the demo deployment on loopback.
 	go run ./cmd/mangogate demo --for 10s
@@ -29,3 +29,6 @@
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "round $$i, MANGOGATE_SEED=$$seed"; \
 		MANGOGATE_SEED=$$seed go test ./cmd/integration -count=1 || exit 1; \
 	done
+
+capacity: ## Measures the figures of docs/CAPACITY.md into out/capacity.json, in about 6 minutes.
+	go run ./standin/cmd/capacity
--- /dev/null
+++ b/standin/capacity/fit.go
@@ -0,0 +1,136 @@
+// Package capacity measures how the cost of control grows with its size, and
+// fits a line to each cost. docs/CAPACITY.md multiplies the slopes by the size
+// that is to be reached.
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Point is one measurement.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Line is a least-squares line. R2 is the share of the variance that it explains.
+type Line struct {
+	Slope     float64 `json:"slope"`
+	Intercept float64 `json:"intercept"`
+	R2        float64 `json:"r2"`
+}
+
+// At returns the line's value.
+func (l Line) At(x float64) float64 { return l.Intercept + l.Slope*x }
+
+// Fit returns the least-squares line through the points. Fewer than two
+// different X give a slope of 0.
+func Fit(points []Point) Line {
+	if len(points) == 0 {
+		return Line{}
+	}
+	n := float64(len(points))
+	var mx, my float64
+	for _, p := range points {
+		mx += p.X / n
+		my += p.Y / n
+	}
+	var xx, xy, yy float64
+	for _, p := range points {
+		xx += (p.X - mx) * (p.X - mx)
+		xy += (p.X - mx) * (p.Y - my)
+		yy += (p.Y - my) * (p.Y - my)
+	}
+	if xx == 0 {
+		return Line{Intercept: my}
+	}
+	l := Line{Slope: xy / xx, R2: 1}
+	l.Intercept = my - l.Slope*mx
+	if yy > 0 {
+		l.R2 = xy * xy / (xx * yy)
+	}
+	return l
+}
+
+// Series is a cost against one size.
+type Series struct {
+	Name   string  `json:"name"`
+	X      string  `json:"x"` // what the size counts
+	Y      string  `json:"y"` // unit of the cost
+	Fixed  string  `json:"fixed,omitempty"`
+	Points []Point `json:"points"`
+	Fit    Line    `json:"fit"`
+}
+
+// Report holds the series of a run.
+type Report struct {
+	Series []*Series `json:"series"`
+}
+
+// add appends a point to a series, and creates it.
+func (r *Report) add(name, x, y, fixed string, at, value float64) {
+	for _, s := range r.Series {
+		if s.Name == name {
+			s.Points = append(s.Points, Point{at, value})
+			s.Fit = Fit(s.Points)
+			return
+		}
+	}
+	r.Series = append(r.Series, &Series{Name: name, X: x, Y: y, Fixed: fixed, Points: []Point{{at, value}}, Fit: Fit([]Point{{at, value}})})
+}
+
+// Print writes one line per series.
+func (r *Report) Print(w io.Writer) {
+	for _, s := range r.Series {
+		var at, values []string
+		for _, p := range s.Points {
+			at = append(at, fmt.Sprintf("%.4g", p.X))
+			values = append(values, fmt.Sprintf("%.4g", p.Y))
+		}
+		fmt.Fprintf(w, "%-34s %-20s at %s: %s; slope %.4g per %s, intercept %.4g, R2 %.3f",
+			s.Name, s.Y, strings.Join(at, " "), strings.Join(values, " "), s.Fit.Slope, s.X, s.Fit.Intercept, s.Fit.R2)
+		if s.Fixed != "" {
+			fmt.Fprintf(w, " (%s)", s.Fixed)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// Merge writes the report to a JSON file. Series of an earlier run that this
+// run did not measure stay.
+func (r *Report) Merge(path string) error {
+	all := Report{}
+	if data, err := os.ReadFile(path); err == nil {
+		if err := json.Unmarshal(data, &all); err != nil {
+			return errors.Wrapf(err, "read %s", path)
+		}
+	}
+	for _, s := range r.Series {
+		all.replace(s)
+	}
+	data, err := json.MarshalIndent(all, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "encode report")
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return errors.Wrap(err, "make directory of report")
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o644), "write report")
+}
+
+func (r *Report) replace(s *Series) {
+	for i := range r.Series {
+		if r.Series[i].Name == s.Name {
+			r.Series[i] = s
+			return
+		}
+	}
+	r.Series = append(r.Series, s)
+}
