Bind outgoing connections to the peer address, and cut networks by client

Cause: a proxy before a peer, target or the platform could not tell which VM a connection comes from, so tests could not partition VMs from each other. Ruled out: a proxy for each pair of VMs, which needs 56 listeners for 8 VMs.

--- a/cmd/integration/main_test.go
+++ b/cmd/integration/main_test.go
@@ -51,15 +51,41 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		if t.Failed() {
-			for _, v := range c.VMs {
-				t.Logf("%s:\n%s", v.Name, v.Log())
-			}
+			logState(t, c)
 		}
 		c.Close()
 	})
 	return c
 }
 
+// logState prints what the VMs logged and their events.
+func logState(t *testing.T, c *cluster.Cluster) {
+	for _, v := range c.VMs {
+		t.Logf("%s:\n%s", v.Name, v.Log())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, v := range c.VMs {
+		if !v.Alive() {
+			continue
+		}
+		events, err := c.Timeline(ctx, v)
+		if err != nil {
+			continue // a VM that is frozen
+		}
+		counts := map[string]int{}
+		for _, e := range events {
+			if counts[e.Kind+e.VM]++; counts[e.Kind+e.VM] <= maxEventsOfKind {
+				t.Logf("%s %s %s %s%s %s term %d", time.UnixMicro(e.Stamp.WallUS).UTC().Format("05.000"), e.VM, e.Kind, e.Group, e.Target, e.Detail, e.Term)
+			}
+		}
+		return
+	}
+}
+
+// maxEventsOfKind bounds the events of a kind and VM that are printed.
+const maxEventsOfKind = 40
+
 // load is requests that run beside a test.
 type load struct {
 	t       *testing.T
--- a/node/logclient/logclient.go
+++ b/node/logclient/logclient.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -40,6 +41,9 @@
 	// Client replaces the HTTP client; its transport then decides about
 	// keepalive and TCP_USER_TIMEOUT.
 	Client *http.Client
+	// LocalAddr is the source of connections of the default HTTP client; nil
+	// leaves it to the system.
+	LocalAddr *net.TCPAddr
 }
 
 // Client sends requests to one log service. It is safe for concurrent use.
@@ -77,7 +81,7 @@
 		c.timeout = defaultTimeout
 	}
 	if c.http == nil {
-		c.http = newHTTPClient(c.timeout)
+		c.http = newHTTPClient(c.timeout, cfg.LocalAddr)
 	}
 	return c
 }
--- a/node/logclient/transport.go
+++ b/node/logclient/transport.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/mangogate/mangogate/node/peer"
 	"golang.org/x/sys/unix"
 )
 
@@ -23,7 +24,7 @@
 // newHTTPClient returns a client whose connections end when the peer has
 // acknowledged nothing for the timeout. Redirects are not followed: an append
 // would be sent twice.
-func newHTTPClient(timeout time.Duration) *http.Client {
+func newHTTPClient(timeout time.Duration, source *net.TCPAddr) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		Control: userTimeout(timeout),
@@ -31,6 +32,7 @@
 			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes,
 		},
 	}
+	peer.Bind(dialer, source)
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -48,6 +48,9 @@
 	key       []byte
 	tls       *tls.Config
 	condemned metrics.Counter
+	// LocalAddr is the source of connections; nil leaves it to the system.
+	// It is set before the first call.
+	LocalAddr *net.TCPAddr
 
 	mu     sync.Mutex
 	peers  map[string]*connSet
@@ -142,6 +145,7 @@
 func (c *Client) dial(address string, cn *conn) {
 	defer close(cn.ready)
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: SetUserTimeout}
+	Bind(&d, c.LocalAddr)
 	raw, err := d.Dial("tcp", address)
 	if err == nil && c.tls != nil {
 		raw = tls.Client(raw, tlsFor(c.tls, address))
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -44,7 +44,8 @@
 	MaxHeaderBytes int    `json:"max_header_bytes"` // bytes
 }
 
-// Peers holds the listener for other VMs.
+// Peers holds the listener for other VMs. Connections to peers, targets and the
+// platform come from its IP address, unless it is on all interfaces.
 type Peers struct {
 	Listen string `json:"listen"`
 	// KeyFile holds the secret that all VMs of the deployment share.
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -99,6 +99,9 @@
 	scheme     string
 	mismatched metrics.Counter
 	truncated  metrics.Counter
+	// LocalAddr is the source of connections; nil leaves it to the system.
+	// It is set before the first request.
+	LocalAddr *net.TCPAddr
 
 	mu         sync.Mutex
 	transports map[string]*http.Transport // by address
@@ -152,6 +155,7 @@
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
+	peer.Bind(&d, c.LocalAddr)
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -161,6 +165,7 @@
 
 func (c *Client) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
+	peer.Bind(&d, c.LocalAddr)
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/node/vm/vm.go
+++ b/node/vm/vm.go
@@ -83,8 +83,11 @@
 	if err != nil {
 		return err
 	}
+	source := peer.Source(s.Peers.Listen)
+	peers, targetClient := peer.NewClient(secret.peerKey, tlsConfigs.peerClient, v.registry), targets.New(tlsConfigs.targets, v.registry)
+	peers.LocalAddr, targetClient.LocalAddr = source, source
 	c, events := clock.New(), timeline.New(s.VM)
-	platform := logclient.New(logclient.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std()})
+	platform := logclient.New(logclient.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout.Std(), LocalAddr: source})
 	v.maps = mapstore.New(c, events, log.Named("map"), boot)
 	v.dispatch = dispatch.New(s.VM, c, events, log.Named("dispatch"), v.registry)
 	v.callers = callers.New(s.VM, boot, s.Callers, tlsConfigs.callers, log.Named("callers"), v.registry)
@@ -93,12 +96,12 @@
 	}, events, platform, log.Named("operators"), v.registry)
 	return v.kernel.Register(
 		peer.NewServer(s.Peers.Listen, secret.peerKey, tlsConfigs.peerServer, log.Named("peer"), v.registry),
-		peer.NewClient(secret.peerKey, tlsConfigs.peerClient, v.registry),
+		peers,
 		replica.New(replica.Config{
 			Log: platform, Writer: s.VM + "-" + boot, Logger: log.Named("replica"), Metrics: v.registry, SnapshotEvery: snapshotEvery,
 		}),
 		v.maps,
-		targets.New(tlsConfigs.targets, v.registry),
+		targetClient,
 		ledger.New(s.VM, c, events, log.Named("ledger"), v.registry),
 		v.dispatch,
 		resolver.New(s.VM, c, events, v.registry),
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -51,6 +51,9 @@
 	Callers    string // address for callers
 	Operators  string
 	Peers      string // address that other VMs use
+	// IP is the source address of the VM's connections to peers, targets and
+	// the platform. With Config.Proxied each VM has its own.
+	IP string
 	// PeerProxy is in front of the peer listener, PlatformProxy between this
 	// VM and the platform. Nil without Config.Proxied.
 	PeerProxy     *faultproxy.Proxy
@@ -78,6 +81,7 @@
 	Document        inventory.Document
 	token           string
 	proxies         []*faultproxy.Proxy
+	started         int // VMs with an IP address of their own
 }
 
 const (
@@ -129,7 +133,7 @@
 }
 
 func (c *Cluster) proxy(upstream string) (*faultproxy.Proxy, error) {
-	address, err := freeAddress()
+	address, err := freeAddress(loopback)
 	if err != nil {
 		return nil, err
 	}
@@ -183,7 +187,7 @@
 
 func (c *Cluster) startTarget(s Service, i int) error {
 	name := fmt.Sprintf("%s-%d", s.Name, i)
-	address, err := freeAddress()
+	address, err := freeAddress(loopback)
 	if err != nil {
 		return err
 	}
@@ -250,11 +254,13 @@
 
 func init() { nextPort.Store(int64(rand.IntN(lastPort - firstPort))) }
 
-// freeAddress returns a loopback address that was free just now.
-func freeAddress() (string, error) {
+const loopback = "127.0.0.1"
+
+// freeAddress returns an address of a loopback IP address that was free just now.
+func freeAddress(ip string) (string, error) {
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
 			continue
 		}
@@ -279,8 +285,12 @@
 
 // AddVM starts a new VM and puts it on the platform's list.
 func (c *Cluster) AddVM(ctx context.Context, name, dataCentre string) (*VM, error) {
-	v := &VM{DataCentre: dataCentre}
-	own, err := freeAddress()
+	v := &VM{DataCentre: dataCentre, IP: loopback}
+	if c.cfg.Proxied {
+		c.started++
+		v.IP = fmt.Sprintf("127.0.1.%d", c.started)
+	}
+	own, err := freeAddress(v.IP)
 	if err != nil {
 		return nil, err
 	}
@@ -295,10 +305,10 @@
 		}
 		v.Peers, platform = v.PeerProxy.Addr(), v.PlatformProxy.Addr()
 	}
-	if v.Callers, err = freeAddress(); err != nil {
+	if v.Callers, err = freeAddress(loopback); err != nil {
 		return nil, err
 	}
-	if v.Operators, err = freeAddress(); err != nil {
+	if v.Operators, err = freeAddress(loopback); err != nil {
 		return nil, err
 	}
 	path, err := c.writeSettings(name, v, own, platform)
--- a/standin/faultproxy/pair.go
+++ b/standin/faultproxy/pair.go
@@ -13,6 +13,8 @@
 	held   chan struct{} // closed when the connection goes silent
 	closed chan struct{}
 	client *net.TCPConn
+	// clientIP is the client's address without the port.
+	clientIP string
 
 	mu       sync.Mutex
 	upstream *net.TCPConn // nil until it is dialled
@@ -29,7 +31,8 @@
 }
 
 func newPair(p *Proxy, client *net.TCPConn) *pair {
-	return &pair{proxy: p, client: client, held: make(chan struct{}), closed: make(chan struct{})}
+	ip, _, _ := net.SplitHostPort(client.RemoteAddr().String()) // TCP addresses have a port
+	return &pair{proxy: p, client: client, clientIP: ip, held: make(chan struct{}), closed: make(chan struct{})}
 }
 
 func (c *pair) hold() { c.heldOnce.Do(func() { close(c.held) }) }
@@ -132,7 +135,7 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buf)
-		settings, _ := c.proxy.current(d)
+		settings, _ := c.proxy.current(d, c.clientIP)
 		due := time.Now().Add(settings.Delay)
 		if n > 0 {
 			queue <- chunk{data: append([]byte(nil), buf[:n]...), due: due}
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -61,7 +61,8 @@
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
 	settings [2]Settings
-	changed  chan struct{} // closed and replaced when settings change
+	clients  map[string][2]Settings // further faults by the client's IP address
+	changed  chan struct{}          // closed and replaced when settings change
 	pairs    map[*pair]bool
 	accepted int
 }
@@ -76,7 +77,7 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	p := &Proxy{upstream: cfg.Upstream, addr: listener.Addr().String(), listener: listener,
-		changed: make(chan struct{}), pairs: map[*pair]bool{}}
+		changed: make(chan struct{}), pairs: map[*pair]bool{}, clients: map[string][2]Settings{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(func() { p.accept(listener) })
 	return p, nil
@@ -103,10 +104,41 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.settings[d] = s
+	p.wake()
+}
+
+// wake must be called with mu held.
+func (p *Proxy) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// SetClient replaces the settings of a direction for the connections of one
+// client, by its IP address. They apply on top of those for all clients.
+func (p *Proxy) SetClient(ip string, d Direction, s Settings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	both := p.clients[ip]
+	both[d] = s
+	p.clients[ip] = both
+	p.wake()
+}
+
+// SetClientBoth replaces the settings of both directions for one client.
+func (p *Proxy) SetClientBoth(ip string, s Settings) {
+	p.SetClient(ip, ToUpstream, s)
+	p.SetClient(ip, ToClient, s)
+}
+
+// Heal removes all settings. Bytes that were held back are delivered.
+func (p *Proxy) Heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.settings = [2]Settings{}
+	clear(p.clients)
+	p.wake()
+}
+
 // SetBoth replaces the settings of both directions.
 func (p *Proxy) SetBoth(s Settings) {
 	p.Set(ToUpstream, s)
@@ -150,6 +182,15 @@
 	}
 }
 
+// HoldClient is HoldExisting for the connections of one client, by its IP address.
+func (p *Proxy) HoldClient(ip string) {
+	for _, c := range p.open() {
+		if c.clientIP == ip {
+			c.hold()
+		}
+	}
+}
+
 // Reset resets the open connections at the end that the direction leads to.
 // The other end is not told.
 func (p *Proxy) Reset(d Direction) {
@@ -188,10 +229,14 @@
 	return out
 }
 
-func (p *Proxy) current(d Direction) (Settings, <-chan struct{}) {
+// current returns the settings that apply to a client's connections.
+func (p *Proxy) current(d Direction, client string) (Settings, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.settings[d], p.changed
+	s, own := p.settings[d], p.clients[client][d]
+	s.Delay += own.Delay
+	s.Cut = s.Cut || own.Cut
+	return s, p.changed
 }
 
 func (p *Proxy) accept(listener net.Listener) {
@@ -216,7 +261,7 @@
 // connection is held or closed before.
 func (p *Proxy) passable(d Direction, c *pair) bool {
 	for {
-		s, changed := p.current(d)
+		s, changed := p.current(d, c.clientIP)
 		if !s.Cut {
 			return !c.isHeld()
 		}
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -111,3 +111,23 @@
 	require.True(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 	require.NoError(t, roundTrip(t, dial(t, p), long))
 }
+
+// Guards against a cut of one client that hits others, and one that Heal keeps.
+func TestCutOfOneClient(t *testing.T) {
+	p := echo(t)
+	from := func(ip string) net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+		conn, err := d.Dial("tcp", p.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	one, other := from("127.0.1.1"), from("127.0.1.2")
+	p.SetClientBoth("127.0.1.1", Settings{Cut: true})
+	require.Error(t, roundTrip(t, one, short))
+	require.NoError(t, roundTrip(t, other, long))
+	p.Heal()
+	require.NoError(t, one.SetReadDeadline(time.Now().Add(long)))
+	_, err := io.ReadFull(one, make([]byte, 4))
+	require.NoError(t, err)
+}
