--- a/node/logclient/logclient.go
+++ b/node/logclient/logclient.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -44,6 +45,9 @@
 	Client *http.Client
 	// Metrics registers the traffic of the default HTTP client; nil means none.
 	Metrics metrics.Registry
+	// LocalAddr is the source of connections of the default HTTP client; nil
+	// leaves it to the system.
+	LocalAddr *net.TCPAddr
 }
 
 // Client sends requests to one log service. It is safe for concurrent use.
@@ -81,7 +85,7 @@
 		c.timeout = defaultTimeout
 	}
 	if c.http == nil {
-		c.http = newHTTPClient(c.timeout, wire.NewCounters("logclient", cfg.Metrics))
+		c.http = newHTTPClient(c.timeout, cfg.LocalAddr, wire.NewCounters("logclient", cfg.Metrics))
 	}
 	return c
 }
--- a/node/logclient/transport.go
+++ b/node/logclient/transport.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/wire"
 	"golang.org/x/sys/unix"
 )
@@ -25,7 +26,7 @@
 // newHTTPClient returns a client whose connections end when the peer has
 // acknowledged nothing for the timeout. Redirects are not followed: an append
 // would be sent twice.
-func newHTTPClient(timeout time.Duration, traffic *wire.Counters) *http.Client {
+func newHTTPClient(timeout time.Duration, source *net.TCPAddr, traffic *wire.Counters) *http.Client {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		Control: userTimeout(timeout),
@@ -33,6 +34,7 @@
 			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveProbes,
 		},
 	}
+	peer.Bind(dialer, source)
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -102,6 +102,9 @@
 	truncated  metrics.Counter
 	requests   *wire.Counters
 	control    *wire.Counters // grants and load queries
+	// LocalAddr is the source of connections; nil leaves it to the system.
+	// It is set before the first request.
+	LocalAddr *net.TCPAddr
 
 	mu         sync.Mutex
 	transports map[string]*http.Transport // by address
@@ -161,6 +164,7 @@
 
 func (c *Client) dial(ctx context.Context, network, address string, traffic *wire.Counters) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
+	peer.Bind(&d, c.LocalAddr)
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -170,6 +174,7 @@
 
 func (c *Client) dialTLS(ctx context.Context, network, address string, traffic *wire.Counters) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: peer.SetUserTimeout}
+	peer.Bind(&d, c.LocalAddr)
 	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
