Find silent connections between VMs within half of a support period

Cause: with every connection between VMs silent, the four connections to a peer were found silent one after another, each 700 ms after its first call. The manager's support (1 s, renewed every 200 ms) ended first, and the term was lost.

Ruled out: a shorter ping timeout. A VM that stalls for less than 400 ms would lose its connections, and writes without a key on them would end unknown.

Change: pings begin 100 ms after a call; when one connection goes silent the others that were opened before take no new calls and end with their last one.

--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -18,8 +18,10 @@
 const ClientName = "peer.client"
 
 const (
-	dialTimeout  = 500 * time.Millisecond
-	pingInterval = 300 * time.Millisecond // between pings while calls are waiting
+	dialTimeout = 500 * time.Millisecond
+	// A manager's support lasts 1 s and is renewed every 200 ms. A silent
+	// connection must be found within half of that, or the term ends with it.
+	pingInterval = 100 * time.Millisecond // between pings while calls are waiting
 	pingTimeout  = 400 * time.Millisecond // after this a connection is condemned
 	// connsPerPeer spreads large bodies, so that one does not hold up all calls.
 	connsPerPeer = 4
@@ -64,10 +66,12 @@
 	ready    chan struct{} // closed when the dial has ended
 	rpc      *rpc.Client
 	err      error
+	openedAt time.Time // set before ready is closed
 	mu       sync.Mutex
 	waiting  int
 	watching bool
 	dead     bool
+	retired  bool // takes no new calls; closed when none is waiting
 }
 
 // NewClient returns a client.
@@ -127,13 +131,16 @@
 		set.slots[i] = cn
 		go c.dial(address, cn)
 	}
+	cn.reserve() // under mu, so that retire sees the call
 	c.mu.Unlock()
 	select {
 	case <-cn.ready:
 	case <-ctx.Done():
+		cn.finished()
 		return nil, ctx.Err()
 	}
 	if cn.err != nil {
+		cn.finished()
 		return nil, cn.err
 	}
 	return cn, nil
@@ -159,7 +166,7 @@
 	}
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	cn.rpc = rpc.NewClient(raw)
+	cn.rpc, cn.openedAt = rpc.NewClient(raw), time.Now()
 	if cn.dead { // the client was stopped meanwhile
 		cn.err = errors.New("client is closed")
 		cn.rpc.Close()
@@ -209,13 +216,58 @@
 	}
 }
 
+// retire takes the other connections to a peer out of use after one of them
+// went silent: the same device on the way may have forgotten them too. Calls
+// that wait on them go on. A connection opened since then is kept.
+func (c *Client) retire(address string, since time.Time) {
+	c.mu.Lock()
+	var idle []*conn
+	if set := c.peers[address]; set != nil {
+		for i, cn := range set.slots {
+			if cn == nil || !cn.openedBefore(since) {
+				continue
+			}
+			set.slots[i] = nil
+			if cn.retire() {
+				idle = append(idle, cn)
+			}
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range idle {
+		cn.rpc.Close()
+	}
+}
+
+func (cn *conn) openedBefore(t time.Time) bool {
+	select {
+	case <-cn.ready:
+		return cn.err == nil && cn.openedAt.Before(t)
+	default:
+		return false
+	}
+}
+
+// retire tells whether the connection can be closed at once.
+func (cn *conn) retire() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.retired = true
+	return cn.waiting == 0
+}
+
+func (cn *conn) reserve() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.waiting++
+}
+
 // watch pings the connection while calls wait on it. A connection that a
 // device between the two ends has forgotten stays open and silent; the failed
 // ping closes it, and the waiting calls fail at once instead of at their deadline.
 func (c *Client) watch(address string, cn *conn) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	cn.waiting++
 	if !cn.watching {
 		cn.watching = true
 		go c.watchdog(address, cn)
@@ -224,8 +276,12 @@
 
 func (cn *conn) finished() {
 	cn.mu.Lock()
-	defer cn.mu.Unlock()
 	cn.waiting--
+	done := cn.retired && cn.waiting == 0 && !cn.dead
+	cn.mu.Unlock()
+	if done {
+		cn.rpc.Close()
+	}
 }
 
 // stopWatching tells whether the watchdog can end.
@@ -245,6 +301,7 @@
 		if cn.stopWatching() {
 			return
 		}
+		sent := time.Now()
 		call := cn.rpc.Go("Ping.Ping", struct{}{}, new(struct{}), make(chan *rpc.Call, 1))
 		select {
 		case <-call.Done:
@@ -255,6 +312,7 @@
 		case <-time.After(pingTimeout):
 			c.condemned.Inc(1)
 			c.drop(address, cn)
+			c.retire(address, sent)
 			return
 		}
 	}
