Wait for the reports of copies before writes count as unknown

Cause: a new manager that had to replace the dispatcher of a ledger group before its first map was installed had no reports of copies, took all copies for lost, and made unknown keys 'outcome unknown' for 10 minutes. Any loss of the manager together with a dispatcher did this, with two complete copies alive.

Ruled out: keeping reports over terms; a report of an earlier term may be older than the epoch.

Change: changeDispatcher waits until each copy holder has reported in this term or twice the map lease has passed; the old dispatcher's lease has to end anyway.

--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -156,7 +156,7 @@
 	entry := shardmap.Group{Dispatcher: want.Dispatcher, Copies: want.Copies}
 	if shardmap.IsLedger(name) && old.Dispatcher != "" {
 		next, complete := t.completeCopy(name, g, vms)
-		if !complete && t.waitForCopy(now, name, g, want, vms) {
+		if !complete && (t.copiesUnheard(now, g) || t.waitForCopy(now, name, g, want, vms)) {
 			return
 		}
 		if complete {
@@ -199,6 +199,20 @@
 	return "", false
 }
 
+// copiesUnheard tells whether a copy may be complete although its holder has
+// not reported in this term. A new manager has no reports before its first map
+// is installed; without this wait, a loss of the manager together with the
+// dispatcher would count as the loss of all copies.
+func (t *tenure) copiesUnheard(now time.Duration, g *groupState) bool {
+	if now >= t.started+2*mapLeaseBound {
+		return false
+	}
+	return slices.ContainsFunc(g.entry.Copies, func(vm string) bool {
+		v := t.vms[vm]
+		return v != nil && !v.replied
+	})
+}
+
 // waitForCopy gives a dispatcher that is leaving in good order time to bring a
 // copy up to date.
 func (t *tenure) waitForCopy(now time.Duration, name string, g *groupState, want placement.Dispatch, vms []placement.VM) bool {
