Free the slots of requests on connections gone silent

Cause: requests on connections to a target that went silent kept their slots until their deadlines. With as many idle connections as slots, the target got no work: a key was not served for 5171 ms, above the limit of 4 s.

Ruled out: a fixed, shorter time for an attempt, which would end slow requests that run; core/connhealth, which decides about connections and peers but not about slots, while net/http owns the connections.

Change: a request that waits for 1 s and is missing from two load reports in a row, taken on a new connection, gives up its slot. A lost read is sent again; a lost write waits until its deadline and is answered unknown. Idle connections are closed at the first sign.

--- a/node/dispatch/group.go
+++ b/node/dispatch/group.go
@@ -16,6 +16,12 @@
 	shard       int
 	fence       uint64
 	fingerprint uint64
+	sentAt      time.Duration
+	alone       bool
+	// abandon ends the wait for the answer of a read.
+	abandon func()
+	missing int  // load reports in a row in which it seems to be missing
+	lost    bool // its slot was given to another request
 }
 
 // verdict is the end of a request's wait for a slot.
@@ -84,6 +90,7 @@
 type slot struct {
 	id     admission.ID
 	target string
+	alone  bool // the request runs alone there
 }
 
 // admit waits until the request may be sent. The reason is set when it was
--- a/node/dispatch/observe.go
+++ b/node/dispatch/observe.go
@@ -79,6 +79,7 @@
 func (s *Service) observe(g *group, t inventory.Target) (sameProcess bool) {
 	ctx, cancel := context.WithTimeout(s.ctx, loadTimeout)
 	defer cancel()
+	asked := s.clock.Now()
 	load, err := s.targets.Load(ctx, t.Name, t.Address)
 	s.mu.Lock()
 	was := s.unhealthy[t.Name]
@@ -100,6 +101,9 @@
 		seen.BootID = load.BootID
 	}
 	former := g.seen(seen)
+	if load != nil && former == load.BootID && g.missing(t.Name, load.InFlight, asked) {
+		s.targets.CondemnIdle(t.Address)
+	}
 	if load != nil && former != "" && former != load.BootID {
 		s.events.Record(timeline.Event{Kind: "target.restarted", Group: g.name, Target: t.Name})
 	}
--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -192,6 +192,7 @@
 		g.finish(place.id, admission.ResultCancelled, 0)
 		return nil, true
 	}
+	place.alone = alone
 	result, again = s.send(ctx, req, p, g, place)
 	if alone && result != nil && result.Outcome == OutcomeRun {
 		s.cleared(req)
@@ -207,10 +208,16 @@
 		g.finish(place.id, admission.ResultCancelled, 0)
 		return moved(), false
 	}
-	g.started(place.id, running{target: target.Name, shard: req.Shard, fence: route.Fence, fingerprint: fingerprint(req)})
-	s.counters.sent.Inc(1)
 	start := s.clock.Now()
-	answer, err := s.targets.Do(ctx, targets.Request{
+	waiting, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	entered := running{target: target.Name, shard: req.Shard, fence: route.Fence, fingerprint: fingerprint(req), sentAt: start, alone: place.alone}
+	if req.Read {
+		entered.abandon = func() { abandon(errSilent{}) }
+	}
+	g.started(place.id, entered)
+	s.counters.sent.Inc(1)
+	answer, err := s.targets.Do(waiting, targets.Request{
 		ID: fmt.Sprintf("%s-%d", req.ID, p.attempts), Target: target.Name, Address: target.Address,
 		Connections: connectionShare(target), Method: req.Method, URI: req.URI, Header: req.Header, Body: req.Body,
 		IdempotencyKey: req.IdempotencyKey, Shard: req.Shard, Fence: route.Fence, Epoch: entry.Epoch,
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -234,7 +234,7 @@
 
 func causeOf(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
-		return ctx.Err()
+		return context.Cause(ctx)
 	}
 	return err
 }
