End ledger attempts by an id of their own, and tell outcomes until they arrive

Cause: the attempt id was the entry's request id, which is the same when the entry submits the request again. A late 'not run' of the first attempt ended the second one while it was in flight, and the next repeat could run the write again. An outcome for another VM was told once; if its connection had gone silent, the write was unknown although it had not run or its answer was known.

Ruled out: dropping late messages by their age; the clocks of VMs do not compare.

Change: the dispatcher draws a new id for each Begin; Finish towards another VM repeats for 4 s and follows the keeper; an attempt that its VM gave up while it waited does not begin.

Conclusion: a late message ends its own attempt only.

--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -37,6 +40,7 @@
 // Service is the module.
 type Service struct {
 	vm      string
+	boot    string // of this process start
 	clock   *clock.Clock
 	events  *timeline.Recorder
 	logger  hclog.Logger
@@ -46,6 +50,7 @@
 	replica *replica.Replica
 
 	counters counters
+	attempts atomic.Uint64
 
 	mu         sync.Mutex
 	groups     map[string]*group
@@ -73,7 +78,7 @@
 		return metrics.GetOrRegisterCounter("dispatch."+name, registry)
 	}
 	return &Service{
-		vm: vm, clock: c, events: events, logger: logger, ctx: ctx, cancel: cancel,
+		vm: vm, boot: strconv.FormatUint(rand.Uint64(), 36), clock: c, events: events, logger: logger, ctx: ctx, cancel: cancel,
 		groups: map[string]*group{}, cancels: map[string]context.CancelFunc{},
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
 		alone:      map[uint64]bool{},
--- a/node/ledger/book.go
+++ b/node/ledger/book.go
@@ -26,7 +26,10 @@
 	keeper   bool   // this VM is the active dispatcher
 	copies   []string
 	attempts map[string]attempt // by key
-	settled  chan struct{}      // closed when an attempt finishes
+	// ended holds attempts that ended before they began here, and for how long
+	// they are remembered: one that waits must not begin when nobody will end it.
+	ended   map[string]time.Duration
+	settled chan struct{} // closed when an attempt finishes
 	// completeAt is the epoch at which the copy held here is complete; 0 for none.
 	completeAt uint64
 	// unknownUntil is the wall clock time until which unknown keys may have run.
@@ -37,7 +40,7 @@
 func newBook(group string) *book {
 	return &book{
 		group: group, table: dedupe.NewTable(dedupe.DefaultConfig()),
-		attempts: map[string]attempt{}, settled: make(chan struct{}),
+		attempts: map[string]attempt{}, ended: map[string]time.Duration{}, settled: make(chan struct{}),
 	}
 }
 
@@ -82,6 +85,11 @@
 	if b.keeper && !b.table.IsComplete() && !time.Now().Before(b.unknownUntil) {
 		b.table.SetComplete(true)
 	}
+	for id, until := range b.ended {
+		if now > until {
+			delete(b.ended, id)
+		}
+	}
 	for key, a := range b.attempts {
 		if now > a.expires {
 			b.table.Fail(now, key, false)
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -33,8 +33,14 @@
 	copyRetry   = 20 * time.Millisecond
 	// attemptGrace is how long after its deadline an attempt may still finish.
 	attemptGrace = time.Second
-	importChunk  = 2000 // entries a call
-	importRetry  = 100 * time.Millisecond
+	// finishTime bounds the telling of an outcome; a change of the keeper takes
+	// less than the 4 s in which a key is served again.
+	finishTime = 4 * time.Second
+	// endedTime is how long an attempt that ended first may still wait to begin:
+	// that is at most its deadline, and most deadlines are shorter.
+	endedTime   = time.Minute
+	importChunk = 2000 // entries a call
+	importRetry = 100 * time.Millisecond
 )
 
 // Ledger is the module.
@@ -221,7 +227,7 @@
 	now := l.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.keeper {
+	if _, over := b.ended[args.Attempt]; over || !b.keeper {
 		return BeginReply{Decision: Moved}, nil
 	}
 	decision, answer := b.table.Begin(now, args.Key, args.Fingerprint, b.epoch)
@@ -317,30 +323,53 @@
 // Finish ends an attempt, here or at the VM that keeps the group. Towards
 // another VM it does not wait.
 func (l *Ledger) Finish(args FinishArgs) {
-	keeper, address, ok := l.keeperOf(args.Group)
-	if ok && keeper == l.vm {
+	if keeper, _, ok := l.keeperOf(args.Group); ok && keeper == l.vm {
 		l.finish(args)
 		return
 	}
-	if !ok {
-		return // the keeper takes an attempt that does not finish as unknown
+	go l.finishRemote(args)
+}
+
+// finishRemote repeats until the keeper has the outcome: without it a repeat of
+// the write is answered unknown. The keeper may change or its connection go
+// silent meanwhile; an attempt is ended once, however often it is told.
+func (l *Ledger) finishRemote(args FinishArgs) {
+	ctx, cancel := context.WithTimeout(l.ctx, finishTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		keeper, address, ok := l.keeperOf(args.Group)
+		if ok && keeper == l.vm {
+			l.finish(args)
+			return
+		}
+		if ok && l.callFinish(ctx, address, args) == nil {
+			return
+		}
+		select {
+		case <-time.After(copyRetry):
+		case <-ctx.Done():
+		}
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, attemptGrace)
-		defer cancel()
-		_ = l.peers.Call(ctx, address, "Ledger.Finish", &args, &Nothing{}) // as above
-	}()
+}
+
+func (l *Ledger) callFinish(ctx context.Context, address string, args FinishArgs) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptGrace)
+	defer cancel()
+	return l.peers.Call(ctx, address, "Ledger.Finish", &args, &Nothing{})
 }
 
 func (l *Ledger) finish(args FinishArgs) {
 	b := l.lookup(args.Group)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := l.clock.Now()
 	current, open := b.attempts[args.Key]
+	if args.Outcome == OutcomeNotRun && current.id != args.Attempt {
+		b.ended[args.Attempt] = now + endedTime
+	}
 	if open && current.id != args.Attempt {
 		return // a late message of an earlier attempt must not end this one
 	}
-	now := l.clock.Now()
 	entry, known := b.table.Lookup(args.Key)
 	if !known {
 		return
