Keep net/http from sending a write again by itself

Cause: net/http repeats a request without a body whose method it takes for idempotent (GET, OPTIONS) when a reused connection ends without an answer. Under a rule whose read_methods leave GET out, such a request is a write.

Ruled out: a body reader without content; net/http sends it in chunks.

Change: a write that was sent on one connection is not written to another; the attempt counts as written.

Conclusion: only the dispatcher repeats writes.

--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/mangogate/mangogate/core/admission"
@@ -53,7 +54,7 @@
 	}
 	args := ledger.BeginArgs{
 		Group: shardmap.LedgerGroup(req.Service), Key: ledgerKey(req), Fingerprint: fingerprint(req),
-		Attempt: req.ID, Remaining: req.Remaining,
+		Attempt: s.attemptID(), Remaining: req.Remaining,
 	}
 	begun := s.ledger.Begin(ctx, args)
 	if begun.Decision != ledger.Run {
@@ -64,6 +65,13 @@
 	return result
 }
 
+// attemptID is new for each Begin, over all VMs and process starts. The entry
+// submits a request again under its own id; a late message that ends the first
+// attempt must not end the second.
+func (s *Service) attemptID() string {
+	return s.vm + "-" + s.boot + "-" + strconv.FormatUint(s.attempts.Add(1), 36)
+}
+
 func refusedByLedger(r ledger.BeginReply) *Result {
 	switch r.Decision {
 	case ledger.Replay:
@@ -219,7 +227,7 @@
 	s.counters.sent.Inc(1)
 	answer, err := s.targets.Do(waiting, targets.Request{
 		ID: fmt.Sprintf("%s-%d", req.ID, p.attempts), Target: target.Name, Address: target.Address,
-		Connections: connectionShare(target), Method: req.Method, URI: req.URI, Header: req.Header, Body: req.Body,
+		Connections: connectionShare(target), Method: req.Method, URI: req.URI, Header: req.Header, Body: req.Body, Read: req.Read,
 		IdempotencyKey: req.IdempotencyKey, Shard: req.Shard, Fence: route.Fence, Epoch: entry.Epoch,
 		Deadline: s.attemptTime(req, p), Gate: s.gate(req, entry, route),
 	})
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -54,6 +54,7 @@
 	URI            string // path and query
 	Header         map[string][]string
 	Body           []byte
+	Read           bool // may be sent again by net/http itself
 	IdempotencyKey string
 	Shard          int // -1 for a pool
 	Fence          uint64
@@ -193,12 +194,33 @@
 	mu     sync.Mutex
 	conn   *gatedConn
 	reused bool
+	sent   bool // on an earlier connection
 }
 
+// use begins the request on a connection. net/http moves a request without a
+// body to another connection by itself when the first one ends; a write must
+// not be sent again that way.
+func (a *attempt) use(info httptrace.GotConnInfo, r Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent = a.sent || a.conn != nil && a.conn.bytesWritten() > 0
+	a.conn, _ = info.Conn.(*gatedConn)
+	a.reused = info.Reused
+	gate := r.Gate
+	if a.sent && !r.Read {
+		gate = func() error { return errSentBefore }
+	}
+	if a.conn != nil {
+		a.conn.begin(gate)
+	}
+}
+
+var errSentBefore = errors.New("the write was sent on another connection")
+
 func (a *attempt) written() (written, reused bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.conn != nil && a.conn.bytesWritten() > 0, a.reused
+	return a.sent || a.conn != nil && a.conn.bytesWritten() > 0, a.reused
 }
 
 // Do sends a request and reads the whole answer. The error is a *SendError.
@@ -206,15 +228,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Deadline)
 	defer cancel()
 	var a attempt
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		a.conn, _ = info.Conn.(*gatedConn)
-		a.reused = info.Reused
-		if a.conn != nil {
-			a.conn.begin(r.Gate)
-		}
-	}})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.use(info, r) }})
 	req, err := c.request(ctx, r)
 	if err != nil {
 		return nil, &SendError{Step: "build request", Target: r.Target, Err: err}
