--- a/cmd/integration/request_test.go
+++ b/cmd/integration/request_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -28,3 +29,9 @@
 	require.NoError(t, err)
 	return resp, string(body)
 }
+
+// decode reads the JSON body of an answer.
+func decode(t *testing.T, resp *http.Response, into any) {
+	t.Helper()
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(into))
+}
