Keep the target's test client from repeating requests

Cause: TestLoadLags hung once in 15 runs of all tests, until the limit of 10 min. The cleanup restarted the target, and net/http sent the write whose connection was cut again by itself, as it does for requests with an Idempotency-Key and a body that it can read again. Ruled out: a fault in the target, which ran the second request as it should. Change: the test's bodies can't be read again, and Server.Close ends all requests for good, which the cleanup uses now. Conclusion: senders to targets must guard against this repeat too.

--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -191,6 +191,14 @@
 	s.boot = s.newBoot("")
 }
 
+// Close ends all requests in flight without an answer. Later ones are cut,
+// until Restart.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boot.die()
+}
+
 // die ends the requests in flight without an answer.
 func (b *boot) die() {
 	if !b.isDead {
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -29,7 +29,7 @@
 	f.Server = New(cfg)
 	srv := httptest.NewServer(f.Server)
 	t.Cleanup(srv.Close)
-	t.Cleanup(f.Restart) // ends the requests in flight
+	t.Cleanup(f.Close)
 	f.url = srv.URL
 	return f
 }
@@ -50,7 +50,10 @@
 }
 
 func (f *fixture) send(method string, header ...string) result {
-	req, err := http.NewRequest(method, f.url+"/fields/k1", strings.NewReader("hello"))
+	// The transport repeats a request with an idempotency key when its
+	// connection is cut, but only if it can read the body again.
+	body := io.NopCloser(strings.NewReader("hello"))
+	req, err := http.NewRequest(method, f.url+"/fields/k1", body)
 	require.NoError(f.t, err)
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
