Measure what the router adds on loopback

Cause: no figure of design.md section 2 was measured. Ruled out: several targets at half load, because the queues of callers and of the router then differ and hide the router's own part.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "round $$i, MANGOGATE_SEED=$$seed"; \
 		MANGOGATE_SEED=$$seed go test ./cmd/integration -count=1 || exit 1; \
 	done
+
+measure: ## Measures both deployments with stand-ins; ARGS="--only 1 --quick" runs parts.
+	go run ./standin/cmd/measure $(ARGS)
--- a/standin/faultproxy/pair.go
+++ b/standin/faultproxy/pair.go
@@ -18,6 +18,8 @@
 	upstream *net.TCPConn // nil until it is dialled
 	heldOnce sync.Once
 	endOnce  sync.Once
+	linkOnce sync.Once
+	latency  time.Duration // of the link; set by linkOnce
 }
 
 // chunk is what was read at once. An error ends the direction: io.EOF closes
@@ -94,6 +96,10 @@
 		c.silence()
 		return false
 	}
+	c.proxy.mu.Lock()
+	connect := c.proxy.link.Connect
+	c.proxy.mu.Unlock()
+	time.Sleep(connect)
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(c.proxy.ctx, "tcp", c.proxy.upstream)
 	if err != nil {
@@ -132,8 +138,9 @@
 	buf := make([]byte, chunkBytes)
 	for {
 		n, err := from.Read(buf)
-		settings, _ := c.proxy.current(d)
-		due := time.Now().Add(settings.Delay)
+		at := time.Now()
+		settings, link := c.proxy.received(d, n)
+		due := at.Add(settings.Delay + c.linkDelay(link))
 		if n > 0 {
 			queue <- chunk{data: append([]byte(nil), buf[:n]...), due: due}
 		}
@@ -144,6 +151,14 @@
 	}
 }
 
+func (c *pair) linkDelay(l Link) time.Duration {
+	if l.Delay == nil {
+		return 0
+	}
+	c.linkOnce.Do(func() { c.latency = l.Delay(c.client.RemoteAddr()) })
+	return c.latency
+}
+
 // deliver writes the chunks in order when they are due. After a failure, and
 // on a held connection, it swallows the rest so that the reader never blocks.
 func (c *pair) deliver(d Direction, queue <-chan chunk, from, to *net.TCPConn) {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -64,6 +64,31 @@
 	changed  chan struct{} // closed and replaced when settings change
 	pairs    map[*pair]bool
 	accepted int
+	link     Link
+	bytes    [2]int64
+}
+
+// Link is the network between a client and the upstream.
+type Link struct {
+	// Delay returns the one-way latency from a client's address; it is asked
+	// once for each connection and added to Settings.Delay. Nil means none.
+	Delay func(client net.Addr) time.Duration
+	// Connect is the time that opening a connection takes.
+	Connect time.Duration
+}
+
+// SetLink sets the network, for open connections too.
+func (p *Proxy) SetLink(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+}
+
+// Bytes returns the number of bytes read for each direction.
+func (p *Proxy) Bytes() (toUpstream, toClient int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes[ToUpstream], p.bytes[ToClient]
 }
 
 // New listens and starts to forward. The error is that of listening.
@@ -194,6 +219,14 @@
 	return p.settings[d], p.changed
 }
 
+// received counts bytes and returns the settings and the link.
+func (p *Proxy) received(d Direction, n int) (Settings, Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes[d] += int64(n)
+	return p.settings[d], p.link
+}
+
 func (p *Proxy) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
--- /dev/null
+++ b/standin/measure/sections.go
@@ -0,0 +1,4 @@
+package measure
+
+// sections run in this order on each deployment.
+var sections = []section{}
