--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 
 capacity: ## Measures the figures of docs/CAPACITY.md into out/capacity.json, in about 6 minutes.
 	go run ./standin/cmd/capacity
+
+measure: ## Measures both deployments with stand-ins; ARGS="--only 1 --quick" runs parts.
+	go run ./standin/cmd/measure $(ARGS)
--- a/cmd/integration/main_test.go
+++ b/cmd/integration/main_test.go
@@ -51,15 +51,15 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		if t.Failed() {
-			logState(t, c)
+			printLogs(t, c)
 		}
 		c.Close()
 	})
 	return c
 }
 
-// logState prints what the VMs logged and their events.
-func logState(t *testing.T, c *cluster.Cluster) {
+// printLogs prints what the VMs logged and their events.
+func printLogs(t *testing.T, c *cluster.Cluster) {
 	for _, v := range c.VMs {
 		t.Logf("%s:\n%s", v.Name, v.Log())
 	}
--- a/node/ledger/ledger_test.go
+++ b/node/ledger/ledger_test.go
@@ -58,7 +58,7 @@
 func install(t *testing.T, epoch uint64, vms ...*vm) {
 	t.Helper()
 	m := &shardmap.Map{Term: 1, Sequence: epoch, Peers: map[string]string{}, Groups: map[string]shardmap.Group{}}
-	g := shardmap.Group{Dispatcher: vms[0].name, Active: true, Epoch: epoch}
+	g := shardmap.Group{Dispatcher: vms[0].name, DispatcherBoot: vms[0].name, Active: true, Epoch: epoch}
 	for i, v := range vms {
 		m.Peers[v.name] = v.address
 		if i > 0 {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -65,6 +65,31 @@
 	changed  chan struct{}          // closed and replaced when settings change
 	pairs    map[*pair]bool
 	accepted int
+	link     Link
+	bytes    [2]int64
+}
+
+// Link is the network between a client and the upstream.
+type Link struct {
+	// Delay returns the one-way latency from a client's address; it is asked
+	// once for each connection and added to Settings.Delay. Nil means none.
+	Delay func(client net.Addr) time.Duration
+	// Connect is the time that opening a connection takes.
+	Connect time.Duration
+}
+
+// SetLink sets the network, for open connections too.
+func (p *Proxy) SetLink(l Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.link = l
+}
+
+// Bytes returns the number of bytes read for each direction.
+func (p *Proxy) Bytes() (toUpstream, toClient int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes[ToUpstream], p.bytes[ToClient]
 }
 
 // New listens and starts to forward. The error is that of listening.
@@ -233,10 +258,23 @@
 func (p *Proxy) current(d Direction, client string) (Settings, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.combined(d, client), p.changed
+}
+
+// combined adds the settings of a client to those of the direction; mu is held.
+func (p *Proxy) combined(d Direction, client string) Settings {
 	s, own := p.settings[d], p.clients[client][d]
 	s.Delay += own.Delay
 	s.Cut = s.Cut || own.Cut
-	return s, p.changed
+	return s
+}
+
+// received counts bytes and returns the settings and the link.
+func (p *Proxy) received(d Direction, client string, n int) (Settings, Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes[d] += int64(n)
+	return p.combined(d, client), p.link
 }
 
 func (p *Proxy) accept(listener net.Listener) {
