--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -47,6 +47,7 @@
 	began := time.Now()
 	measure := map[string]func() error{
 		"core": r.Core,
+		"log":  func() error { return r.Log(ctx) },
 		"idle": func() error { return r.Idle(ctx) },
 	}[part]
 	if measure == nil {
