Test failures of the manager and partitions with real processes

Cause: nothing proved with real processes that a manager that is frozen or cut off stops acting, and that a partition neither runs a key twice nor outlasts its end.

--- /dev/null
+++ b/cmd/integration/manager_test.go
@@ -0,0 +1,69 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/standin/cluster"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a manager that goes on acting after its support has ended, and
+// against losses of the manager, whole or in part, that stop the service.
+func TestManagerFailures(t *testing.T) {
+	c := proxied(t)
+	for _, tc := range []struct {
+		name   string
+		fail   func(t *testing.T, v *cluster.VM)
+		repair func(t *testing.T, v *cluster.VM)
+		// replaced is set when another manager must take over.
+		replaced bool
+	}{
+		{"frozen", freeze, thaw, true},
+		{"cut off from peers", func(_ *testing.T, v *cluster.VM) { c.IsolateFromPeers(v) }, heal(c), true},
+		{"cut off from the log", func(_ *testing.T, v *cluster.VM) { c.IsolateFromLog(v) }, heal(c), false},
+		{"cut off from targets", func(_ *testing.T, v *cluster.VM) { c.IsolateFromTargets(v) }, heal(c), false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			old := actingManager(t, c)
+			all := startLoads(t, c, old)
+			t.Cleanup(func() { tc.repair(t, old) }) // for the next failure, when this test fails
+			at := time.Now()
+			tc.fail(t, old)
+			if tc.replaced {
+				actingManager(t, c, old)
+			}
+			all.waitServedSince(at)
+			repaired := time.Now()
+			tc.repair(t, old)
+			all.waitServedSince(repaired)
+			require.NoError(t, c.WaitReady(t.Context(), recovery))
+			all.requireSafe(c)
+		})
+	}
+	t.Run("two in a row lost", func(t *testing.T) { twoManagersLost(t, c) })
+}
+
+func freeze(t *testing.T, v *cluster.VM) { require.NoError(t, v.Freeze()) }
+
+func thaw(t *testing.T, v *cluster.VM) { require.NoError(t, v.Thaw()) }
+
+func heal(c *cluster.Cluster) func(*testing.T, *cluster.VM) {
+	return func(*testing.T, *cluster.VM) { c.Heal() }
+}
+
+// twoManagersLost kills the manager and its successor as soon as it acts.
+func twoManagersLost(t *testing.T, c *cluster.Cluster) {
+	all := startLoads(t, c)
+	first := actingManager(t, c)
+	require.NoError(t, first.Kill())
+	second := actingManager(t, c, first)
+	at := time.Now()
+	require.NoError(t, second.Kill())
+	actingManager(t, c, first, second)
+	all.waitServedSince(at)
+	require.NoError(t, first.Restart())
+	require.NoError(t, second.Restart())
+	require.NoError(t, c.WaitReady(t.Context(), recovery))
+	all.requireSafe(c)
+}
--- /dev/null
+++ b/standin/history/waits_test.go
@@ -0,0 +1,36 @@
+package history
+
+import (
+	"testing"
+
+	"github.com/mangogate/mangogate/standin/target"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an allowance for paused targets that also hides requests sent
+// after the next owner began, of unknown send time, or at targets not paused.
+func TestWithoutCaughtTakesOutOnlyEarlierRequests(t *testing.T) {
+	late := target.Execution{Target: "a", Key: "k", Fence: 1, RequestID: "r", StartUS: 200, EndUS: 210}
+	next := target.Execution{Target: "b", Key: "k", Fence: 2, RequestID: "s", StartUS: 100, EndUS: 110}
+	all := []target.Execution{next, late}
+	require.NotEmpty(t, Owners(all))
+	pause := Pause{Target: "a", FromUS: 10, UntilUS: 150}
+	for _, tc := range []struct {
+		name   string
+		pause  Pause
+		sent   map[string]int64
+		caught int
+	}{
+		{"sent before the next owner", pause, map[string]int64{"r": 20}, 1},
+		{"sent after the next owner", pause, map[string]int64{"r": 120}, 0},
+		{"sent after the pause", pause, map[string]int64{"r": 190}, 0},
+		{"no send time", pause, nil, 0},
+		{"another target paused", Pause{Target: "b", FromUS: 10, UntilUS: 150}, map[string]int64{"r": 20}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rest, caught := WithoutCaught(all, []Pause{tc.pause}, tc.sent)
+			require.Len(t, caught, tc.caught)
+			require.Equal(t, tc.caught == 0, len(Owners(rest)) > 0)
+		})
+	}
+}
