Replace a manager or dispatcher that is cut off from targets only

Cause: a manager that reached peers and log but no target kept its term, let every server lease end and could promote nobody: no key was served for 30 s (TestManagerFailures/cut_off_from_targets). Its groups stayed with it as well. Ruled out: stepping down whenever all servers are lost, which would change managers for ever while the targets are really gone. Change: VMs report when the targets that they dispatch to last answered a load query. A manager steps down when more servers answer their dispatchers but not it than answer it; a group leaves a dispatcher that its target stopped answering 1 s before it last answered the manager, at most once in 10 s. Conclusion: holds for services by key; a pool's dispatcher that is cut off from its targets is not replaced, because nobody else asks those targets.

--- a/core/authority/authority.go
+++ b/core/authority/authority.go
@@ -63,6 +63,10 @@
 // stop. A node that resigned campaigns no more.
 type Resign struct{}
 
+// StepDown gives up the own term and releases the supporters, so that another
+// member takes over. Unlike after Resign, the node campaigns again in its turn.
+type StepDown struct{ Reason string }
+
 func (Tick) event()           {}
 func (MembersChanged) event() {}
 func (TermSeen) event()       {}
@@ -70,6 +74,7 @@
 func (Received) event()       {}
 func (ClockJumped) event()    {}
 func (Resign) event()         {}
+func (StepDown) event()       {}
 
 // Kind is the kind of a Message.
 type Kind uint8
--- a/core/authority/node.go
+++ b/core/authority/node.go
@@ -104,6 +104,8 @@
 	case ClockJumped:
 		n.giveUp(now, "clock jumped")
 		n.quietUntil = now + n.cfg.Promise
+	case StepDown:
+		n.giveUp(now, ev.Reason)
 	case Resign:
 		n.giveUp(now, "resigned")
 		n.resigned = true
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -53,8 +53,9 @@
 	quarantine *quarantine.State
 	alone      map[uint64]bool // suspects that run now, by fingerprint
 	budget     *retry.Budget
-	unhealthy  map[string]bool // targets that refuse connections
-	draining   map[string]bool // targets that say so
+	unhealthy  map[string]bool          // targets that refuse connections
+	draining   map[string]bool          // targets that say so
+	heard      map[string]time.Duration // last answer to a load query, or the start of dispatching
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -78,7 +79,7 @@
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
 		alone:      map[uint64]bool{},
 		budget:     retry.NewBudget(retry.DefaultBudgetConfig(), c.Now()),
-		unhealthy:  map[string]bool{}, draining: map[string]bool{},
+		unhealthy:  map[string]bool{}, draining: map[string]bool{}, heard: map[string]time.Duration{},
 		counters: counters{
 			sent: counter("sent"), retried: counter("retried"), notRun: counter("not_run"),
 			unknown: counter("unknown"), moved: counter("moved"), gated: counter("gated"),
@@ -202,6 +203,9 @@
 	}
 	s.mu.Lock()
 	s.groups[name] = g
+	for _, t := range members {
+		s.heard[t.Name] = s.clock.Now()
+	}
 	s.mu.Unlock()
 	s.events.Record(timeline.Event{Kind: "group.dispatched", Group: name, Service: service.Name})
 }
@@ -212,6 +216,7 @@
 		r.ConfigVersion, r.AssignVersion = st.ConfigVersion(), st.AssignVersion()
 	})
 	m := s.maps.Current()
+	r.Heard = s.targetsHeard()
 	for _, g := range s.allGroups() {
 		busy, shards := g.busy(m)
 		r.Groups = append(r.Groups, mapstore.GroupReport{Group: g.name, Busy: busy})
--- a/node/dispatch/observe.go
+++ b/node/dispatch/observe.go
@@ -8,6 +8,7 @@
 	"github.com/mangogate/mangogate/core/admission"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
+	"github.com/mangogate/mangogate/node/mapstore"
 	"github.com/mangogate/mangogate/node/timeline"
 )
 
@@ -89,6 +90,7 @@
 		setOrDelete(s.unhealthy, t.Name, refused)
 	}
 	if err == nil {
+		s.heard[t.Name] = s.clock.Now()
 		setOrDelete(s.draining, t.Name, load.Draining)
 	}
 	s.mu.Unlock()
@@ -106,6 +108,22 @@
 	return err == nil && (former == "" || former == load.BootID)
 }
 
+// targetsHeard returns when the targets of the dispatched groups last answered.
+func (s *Service) targetsHeard() []mapstore.TargetHeard {
+	var out []mapstore.TargetHeard
+	for _, g := range s.allGroups() {
+		known := g.knownTargets()
+		s.mu.Lock()
+		for _, name := range known {
+			if at, ok := s.heard[name]; ok {
+				out = append(out, mapstore.TargetHeard{Target: name, Ago: s.clock.Now() - at})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
 func healthKind(refused bool) string {
 	if refused {
 		return "target.refuses_connections"
--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -33,6 +33,9 @@
 	// dataEpochs are the last epochs at which a copy can be complete.
 	dataEpochs   []uint64
 	waitingSince time.Duration // for a complete copy
+	// avoid is a VM that did not reach the group's target, until avoidUntil.
+	avoid      string
+	avoidUntil time.Duration
 }
 
 // planGroups keeps a dispatcher for each group.
@@ -51,7 +54,8 @@
 			continue
 		}
 		for _, target := range t.doc.TargetsOf(s.Name) {
-			t.planGroup(now, s.Name+"/"+target.Name, target.DataCentre, vms, wanted)
+			name := s.Name + "/" + target.Name
+			t.planGroup(now, name, target.DataCentre, t.reaching(now, name, target.Name, vms), wanted)
 		}
 	}
 	for name := range t.groups {
--- a/node/manager/servers.go
+++ b/node/manager/servers.go
@@ -19,6 +19,7 @@
 	target   inventory.Target
 	answered bool // in this term
 	lost     bool
+	heardAt  time.Duration // last answer to a grant, or the start of the term
 }
 
 // blockedShard is a shard that a VM may still send to its old owner.
@@ -147,6 +148,7 @@
 		s.answered, s.lost = true, false
 	}
 	now := t.m.clock.Now()
+	s.heardAt = now
 	t.carryOut(now, t.table.Step(now, lease.Reply{
 		Server: target.Name, Sequence: sequence, BootID: r.BootID, Clock: time.Duration(r.ClockMS) * time.Millisecond,
 		Holds: holds(target.Service, r), Highest: highest(target.Service, r.HighestFence), Refused: r.Refused,
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mangogate/mangogate/core/authority"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/lease"
@@ -129,6 +130,9 @@
 	t.planGroups(now)
 	t.publish(now)
 	t.installAll(now)
+	if t.cutOff() {
+		t.m.act(t.m.node.Step(now, authority.StepDown{Reason: "cut off from the servers"}))
+	}
 }
 
 // followLog takes over the document and the durable assignments.
@@ -158,7 +162,7 @@
 			s.target = target
 			continue
 		}
-		t.servers[target.Name] = &serverState{target: target}
+		t.servers[target.Name] = &serverState{target: target, heardAt: t.started}
 		t.carryOut(now, t.table.Step(now, lease.ServerAdded{Server: target.Name, Service: target.Service}))
 	}
 	for name := range t.servers {
--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -64,6 +64,14 @@
 	BusyShards    []ShardReport
 	Refusals      []Refusal
 	Draining      []string // targets that say that they are leaving
+	Heard         []TargetHeard
+}
+
+// TargetHeard says how long ago a target that this VM dispatches to answered
+// a load query.
+type TargetHeard struct {
+	Target string
+	Ago    time.Duration
 }
 
 // InstallReply answers InstallArgs.
