Test frozen servers and a renewal that arrives late

Change: TestServerFailures freezes the owner of a key past its lease with and without a check of fences, and delays the manager's grants to an owner by 3 s. Without a check of fences only the sender is a fence; a request that had reached the frozen server before the next owner began may run there later. The checker allows exactly these, by the time at which the request reached the target's socket, which the fault proxy notes.

--- a/cmd/integration/network_test.go
+++ b/cmd/integration/network_test.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// stop ends the loads and waits for the answers.
+func (all loads) stop() {
+	for _, l := range slices.Concat(all.balanced, all.others) {
+		report, _ := l.stop()
+		l.reports <- report
+	}
+}
+
 // requireSafe ends the loads and checks the promises that hold under every failure.
 func (all loads) requireSafe(c *cluster.Cluster) {
 	t := all.balanced[0].t
--- /dev/null
+++ b/cmd/integration/server_test.go
@@ -0,0 +1,133 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/standin/cluster"
+	"github.com/mangogate/mangogate/standin/faultproxy"
+	"github.com/mangogate/mangogate/standin/history"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a server that runs requests for its keys after the next owner
+// has begun: because it was frozen past its lease and then goes on with what is
+// in its sockets, or because a renewal reaches it late.
+func TestServerFailures(t *testing.T) {
+	c := proxied(t)
+	t.Run("frozen, checks fences", func(t *testing.T) {
+		all := startLoads(t, c)
+		freezeTarget(t, c, all, ownerOf(t, c, "status"))
+		all.requireSafe(c)
+	})
+	t.Run("renewal delivered late", func(t *testing.T) { lateRenewal(t, c) })
+	t.Run("frozen, checks no fences", func(t *testing.T) {
+		all := startLoads(t, c)
+		pause := freezeTarget(t, c, all, ownerOf(t, c, "lockers"))
+		all.stop()
+		ran, err := c.Executions()
+		require.NoError(t, err)
+		// Only the sender is a fence here. What had reached the server before
+		// the next owner began is out of its reach; nothing else may overlap.
+		rest, caught := history.WithoutCaught(ran, []history.Pause{pause}, c.Arrivals())
+		t.Logf("requests that the frozen server had and ran later: %d", len(caught))
+		require.Empty(t, history.Owners(rest), "two owners of a key")
+		require.Empty(t, history.Writes(ran), "a write ran twice")
+	})
+}
+
+// ownerOf returns the target that owns a key of a service.
+func ownerOf(t *testing.T, c *cluster.Cluster, service string) *cluster.Target {
+	t.Helper()
+	reply, err := c.Owner(t.Context(), c.VMs[0], service, service+"-key")
+	require.NoError(t, err)
+	for _, target := range c.Targets {
+		if target.Name == reply.Owner {
+			return target
+		}
+	}
+	require.Fail(t, "the key has no owner")
+	return nil
+}
+
+// freezeTarget stops a target until its keys are served elsewhere, and waits
+// until it works again. Its last requests stay in its sockets meanwhile.
+func freezeTarget(t *testing.T, c *cluster.Cluster, all loads, target *cluster.Target) history.Pause {
+	t.Helper()
+	require.NoError(t, target.Freeze())
+	t.Cleanup(func() { _ = target.Thaw() }) // for the next failure, when this test fails
+	from := time.Now()
+	all.waitServedSince(from)
+	waitLost(t, c, target, from)
+	until := time.Now()
+	require.NoError(t, target.Thaw())
+	waitReturned(t, c, target, until)
+	all.waitServed(200)
+	return history.Pause{Target: target.Name, FromUS: from.UnixMicro(), UntilUS: until.UnixMicro()}
+}
+
+func waitLost(t *testing.T, c *cluster.Cluster, target *cluster.Target, since time.Time) {
+	t.Helper()
+	waitEvent(t, c, "server.lost", target, since)
+}
+
+func waitReturned(t *testing.T, c *cluster.Cluster, target *cluster.Target, since time.Time) {
+	t.Helper()
+	waitEvent(t, c, "server.returned", target, since)
+}
+
+func waitEvent(t *testing.T, c *cluster.Cluster, kind string, target *cluster.Target, since time.Time) {
+	t.Helper()
+	require.NoError(t, cluster.Wait(recovery, func() error {
+		for _, e := range events(t, c, kind, since, time.Now()) {
+			if e.Target == target.Name {
+				return nil
+			}
+		}
+		return fmt.Errorf("no event %s for %s", kind, target.Name)
+	}))
+}
+
+// renewalDelay is longer than a lease with its bound for drift, and than the
+// time in which a standby takes over.
+const renewalDelay = 3 * time.Second
+
+// lateRenewal delays what the manager sends to a server, until grants that were
+// sent before the loss arrive after the next owner has begun. No other VM is
+// delayed, and the server can answer.
+func lateRenewal(t *testing.T, c *cluster.Cluster) {
+	boss, target := actingManager(t, c), ownerOf(t, c, "status")
+	all := startLoads(t, c, boss)
+	at := time.Now()
+	target.Proxy.SetClient(boss.IP, faultproxy.ToUpstream, faultproxy.Settings{Delay: renewalDelay})
+	t.Cleanup(c.Heal)
+	waitLost(t, c, target, at)
+	lost := time.Now()
+	all.waitServedSince(at)
+	// Each grant is late by the delay; none may give the server a shard again
+	// until the delay has ended.
+	held := 0
+	require.NoError(t, cluster.Wait(recovery, func() error {
+		reply, err := c.Grants(t.Context(), target)
+		if err != nil {
+			return err
+		}
+		held += len(reply.Holds)
+		if late := time.Since(lost); late < renewalDelay {
+			return fmt.Errorf("the last grant before the loss arrives in %v", renewalDelay-late)
+		}
+		return nil
+	}))
+	require.Zero(t, held, "a late renewal gave the server its shards again")
+	require.Empty(t, events(t, c, "server.returned", lost, time.Now()))
+	resp, body := request(t, c.VMs[0], http.MethodGet, "/status/status-key", nil)
+	require.Equal(t, http.StatusOK, resp.StatusCode, body)
+	require.NotEqual(t, target.Name, resp.Header.Get("X-Target"))
+	healed := time.Now()
+	c.Heal()
+	waitReturned(t, c, target, healed)
+	all.waitServed(200)
+	all.requireSafe(c)
+}
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -81,6 +81,7 @@
 	Document        inventory.Document
 	token           string
 	proxies         []*faultproxy.Proxy
+	arrivals        arrivals
 	started         int // VMs with an IP address of their own
 }
 
@@ -92,7 +93,7 @@
 
 // Start starts the platform, the targets and the VMs, and publishes the document.
 func Start(ctx context.Context, cfg Config) (*Cluster, error) {
-	c := &Cluster{cfg: cfg, token: secretBytes}
+	c := &Cluster{cfg: cfg, token: secretBytes, arrivals: arrivals{at: map[string]int64{}}}
 	for _, step := range []func(context.Context) error{c.startPlatform, c.startTargets, c.startVMs, c.publish} {
 		if err := step(ctx); err != nil {
 			c.Close()
@@ -132,12 +133,12 @@
 	return &Process{Name: name, bin: bin, args: args, log: filepath.Join(c.cfg.Dir, name+".log")}
 }
 
-func (c *Cluster) proxy(upstream string) (*faultproxy.Proxy, error) {
+func (c *Cluster) proxy(upstream string, delivered func([]byte)) (*faultproxy.Proxy, error) {
 	address, err := freeAddress(loopback)
 	if err != nil {
 		return nil, err
 	}
-	p, err := faultproxy.New(faultproxy.Config{Listen: address, Upstream: upstream})
+	p, err := faultproxy.New(faultproxy.Config{Listen: address, Upstream: upstream, Delivered: delivered})
 	if err != nil {
 		return nil, err
 	}
@@ -206,7 +207,7 @@
 		return err
 	}
 	if c.cfg.Proxied {
-		if t.Proxy, err = c.proxy(address); err != nil {
+		if t.Proxy, err = c.proxy(address, c.arrivals.note); err != nil {
 			return err
 		}
 		t.Address = t.Proxy.Addr()
@@ -297,10 +298,10 @@
 	platform := c.PlatformAddress
 	v.Peers = own
 	if c.cfg.Proxied {
-		if v.PeerProxy, err = c.proxy(own); err != nil {
+		if v.PeerProxy, err = c.proxy(own, nil); err != nil {
 			return nil, err
 		}
-		if v.PlatformProxy, err = c.proxy(platform); err != nil {
+		if v.PlatformProxy, err = c.proxy(platform, nil); err != nil {
 			return nil, err
 		}
 		v.Peers, platform = v.PeerProxy.Addr(), v.PlatformProxy.Addr()
--- a/standin/faultproxy/pair.go
+++ b/standin/faultproxy/pair.go
@@ -161,6 +161,9 @@
 		case item.err != nil:
 			reset(to)
 		default:
+			if d == ToUpstream && c.proxy.delivered != nil {
+				c.proxy.delivered(item.data)
+			}
 			if _, err := to.Write(item.data); err != nil {
 				dead = true
 				if !c.isHeld() {
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -23,6 +23,9 @@
 type Config struct {
 	Listen   string // empty means a free port on loopback
 	Upstream string
+	// Delivered is called with the bytes that go to the upstream, immediately
+	// before they are written. It must not keep them. Nil means no call.
+	Delivered func(data []byte)
 }
 
 // Direction is the way that bytes go.
@@ -52,11 +55,12 @@
 
 // Proxy forwards connections from one address to another.
 type Proxy struct {
-	upstream string
-	addr     string
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	upstream  string
+	delivered func([]byte)
+	addr      string
+	ctx       context.Context
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
 
 	mu       sync.Mutex
 	listener net.Listener // nil while connections are refused
@@ -76,7 +80,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &Proxy{upstream: cfg.Upstream, addr: listener.Addr().String(), listener: listener,
+	p := &Proxy{upstream: cfg.Upstream, delivered: cfg.Delivered, addr: listener.Addr().String(), listener: listener,
 		changed: make(chan struct{}), pairs: map[*pair]bool{}, clients: map[string][2]Settings{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(func() { p.accept(listener) })
