--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mangogate/mangogate/core/authority"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/lease"
@@ -137,6 +138,9 @@
 	t.balanceDispatchers(now)
 	t.publish(now)
 	t.installAll(now)
+	if t.cutOff() {
+		t.m.act(t.m.node.Step(now, authority.StepDown{Reason: "cut off from the servers"}))
+	}
 }
 
 // followLog takes over the document and the durable assignments.
@@ -166,7 +170,7 @@
 			s.target = target
 			continue
 		}
-		t.servers[target.Name] = &serverState{target: target}
+		t.servers[target.Name] = &serverState{target: target, heardAt: t.started}
 		t.carryOut(now, t.table.Step(now, lease.ServerAdded{Server: target.Name, Service: target.Service}))
 	}
 	for name := range t.servers {
