--- a/cmd/integration/answer_test.go
+++ b/cmd/integration/answer_test.go
@@ -39,7 +39,7 @@
 			cfg.HangUpRate, cfg.HangUpAfter = 0.05, 20*time.Millisecond
 		}))
 	}
-	require.Eventually(t, func() bool { return loads[0].ended()+loads[1].ended() >= wanted }, 8*time.Minute, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return len(loads[0].ended())+len(loads[1].ended()) >= wanted }, 8*time.Minute, 20*time.Millisecond)
 	for i, l := range loads {
 		report, _ := l.stop()
 		t.Logf("%s: %d requests, %d served, %d hung up, outcomes of all attempts %v", []string{"status", "bookings"}[i],
--- a/cmd/integration/durable_test.go
+++ b/cmd/integration/durable_test.go
@@ -232,7 +232,7 @@
 	}
 	requireDone(t, c, d)
 	for _, v := range c.VMs {
-		require.Equal(t, 1, counter(t, c, v, "control.replica.snapshots-loaded"), "%s did not start from a snapshot", v.Name)
+		require.Equal(t, 1, counter(t, v, "control.replica.snapshots-loaded"), "%s did not start from a snapshot", v.Name)
 	}
 }
 
--- a/cmd/integration/main_test.go
+++ b/cmd/integration/main_test.go
@@ -141,13 +141,6 @@
 	return n
 }
 
-// ended returns how many requests have ended.
-func (l *load) ended() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.results)
-}
-
 // waitServed waits until n more requests are served.
 func (l *load) waitServed(n int) {
 	l.t.Helper()
--- a/cmd/integration/operate_test.go
+++ b/cmd/integration/operate_test.go
@@ -133,16 +133,6 @@
 	return len(slices.DeleteFunc(events, func(e timeline.Event) bool { return e.Kind != kind }))
 }
 
-// counter returns a counter of a VM.
-func counter(t *testing.T, c *cluster.Cluster, v *cluster.VM, name string) int {
-	t.Helper()
-	var all map[string]map[string]any
-	_, err := c.Operator(t.Context(), v, http.MethodGet, "/metrics", nil, &all)
-	require.NoError(t, err)
-	n, _ := all[name]["count"].(float64)
-	return int(n)
-}
-
 // ctl runs mangogatectl against VMs and returns its output and exit code.
 func ctl(t *testing.T, vms []*cluster.VM, args ...string) (string, int) {
 	t.Helper()
