Ask for a target's load again on a new connection

Cause: TestSilentConnections/towards_targets counted two groups as lost: the query on a silent connection took 400 ms to fail and the next followed after 500 ms, so the target seemed silent to its dispatcher for the 1 s from which the manager takes a dispatcher for cut off (group.unreached in the timeline).

Ruled out: a longer bound in the manager; a manager that is cut off from targets would step down too late for 4 s.

Change: a query without an answer in 200 ms is asked again on a new connection.

--- a/node/dispatch/observe.go
+++ b/node/dispatch/observe.go
@@ -9,6 +9,7 @@
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/node/mapstore"
+	"github.com/mangogate/mangogate/node/targets"
 	"github.com/mangogate/mangogate/node/timeline"
 )
 
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, loadTimeout)
 	defer cancel()
 	asked := s.clock.Now()
-	load, err := s.targets.Load(ctx, t.Name, t.Address)
+	load, err := s.askLoad(ctx, t)
 	s.mu.Lock()
 	was := s.unhealthy[t.Name]
 	// A query that timed out says nothing: health endpoints lag, and a frozen
@@ -112,6 +113,19 @@
 	return err == nil && (former == "" || former == load.BootID)
 }
 
+// askLoad asks again on a new connection when the first one gives no answer: it
+// may have gone silent, and the manager must not take that for a target that is
+// out of reach.
+func (s *Service) askLoad(ctx context.Context, t inventory.Target) (*targets.LoadReply, error) {
+	first, cancel := context.WithTimeout(ctx, loadTimeout/2)
+	defer cancel()
+	load, err := s.targets.Load(first, t.Name, t.Address)
+	if err != nil && first.Err() != nil && ctx.Err() == nil {
+		return s.targets.Load(ctx, t.Name, t.Address)
+	}
+	return load, err
+}
+
 // targetsHeard returns when the targets of the dispatched groups last answered.
 func (s *Service) targetsHeard() []mapstore.TargetHeard {
 	var out []mapstore.TargetHeard
