Read the VM list seldom on VMs that do not act on it

Cause: every VM read the platform's list each second. The list grows with the deployment: 83 bytes/s for each VM on it, measured with 4 to 24 VMs, so 63 KB/s on each of 760 VMs. Control may use 27 KB/s. Ruled out: a longer interval for all VMs, which would delay the replacement of a member that is gone. Change: the manager, and a VM without a manager, read the list each second; other VMs every 10 s. Members are proposed only from a list that was read since the VM needs it, because an older one may name a VM that is gone. Conclusion: the list costs a member a tenth.

--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,6 +30,7 @@
 	tickInterval    = 20 * time.Millisecond
 	deliverTimeout  = 400 * time.Millisecond
 	vmListInterval  = time.Second
+	vmListSkips     = 9  // intervals between two reads of a list that is not needed
 	reportPerMember = 64 // events that may wait for the loop, for each VM
 )
 
@@ -62,6 +64,9 @@
 
 	vms         []logclient.VM
 	vmsSeen     bool
+	vmsAt       time.Duration // when the list was asked for
+	vmsNeeded   time.Duration // since when a VM list may lead to a proposal
+	needsVMs    atomic.Bool   // the list is read each second; set by the loop
 	idleSince   time.Duration // since when no manager is known
 	proposing   bool
 	lastPropose time.Duration
--- a/node/manager/members.go
+++ b/node/manager/members.go
@@ -26,24 +26,44 @@
 	proposeInterval = time.Second
 )
 
-// pollVMs reads the platform's list.
+// pollVMs reads the platform's list: each second while this VM may act on it,
+// every 10 s otherwise. The list of 760 VMs takes 63 KB, and the control of a VM
+// may use 27 KB/s.
 func (m *Manager) pollVMs() {
 	defer m.wg.Done()
+	skipped := 0
 	for {
+		if !m.needsVMs.Load() && skipped < vmListSkips {
+			skipped++
+			if !m.sleep(vmListInterval) {
+				return
+			}
+			continue
+		}
+		skipped = 0
+		began := m.clock.Now()
 		ctx, cancel := context.WithTimeout(m.ctx, 2*vmListInterval)
 		vms, err := m.log.VMs(ctx)
 		cancel()
 		if err == nil {
-			m.post(func() { m.vms, m.vmsSeen = vms, true })
+			m.post(func() { m.vms, m.vmsSeen, m.vmsAt = vms, true, began })
 		}
-		select {
-		case <-time.After(vmListInterval):
-		case <-m.ctx.Done():
+		if !m.sleep(vmListInterval) {
 			return
 		}
 	}
 }
 
+// sleep returns false when the module stops.
+func (m *Manager) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-m.ctx.Done():
+		return false
+	}
+}
+
 func (m *Manager) listedGone(vm string) bool {
 	return slices.ContainsFunc(m.vms, func(l logclient.VM) bool { return l.ID == vm && l.State == vmGone })
 }
@@ -51,16 +71,18 @@
 // considerMembers proposes a change of the members when one is due: by the
 // manager, or by any VM when no manager can act.
 func (m *Manager) considerMembers(now time.Duration) {
-	if m.managed(now) {
+	acting := m.tenure != nil && m.tenure.acting()
+	managed := m.managed(now)
+	if managed {
 		m.idleSince = now
 	}
-	if m.proposing || !m.vmsSeen || now-m.lastPropose < proposeInterval || !m.replica.Ready() {
+	m.noteNeed(now, acting || !managed || !m.vmsSeen)
+	if m.proposing || !m.vmsSeen || m.vmsAt < m.vmsNeeded || now-m.lastPropose < proposeInterval || !m.replica.Ready() {
 		return
 	}
 	var current []control.Member
 	var version uint64
 	m.replica.View(func(st *control.State) { current, version = st.Members() })
-	acting := m.tenure != nil && m.tenure.acting()
 	orphaned := now-m.idleSince >= orphanedAfter+m.rank()*proposeStagger
 	if version == 0 {
 		orphaned = now-m.idleSince >= m.rank()*proposeStagger
@@ -75,6 +97,15 @@
 	m.propose(version, next, now)
 }
 
+// noteNeed asks for the list each second while it is needed. Members are
+// proposed only from a list that was read since then.
+func (m *Manager) noteNeed(now time.Duration, needed bool) {
+	if needed && !m.needsVMs.Load() {
+		m.vmsNeeded = now
+	}
+	m.needsVMs.Store(needed)
+}
+
 // managed tells whether a manager has been heard of lately: this VM supports
 // one, or holds a map lease.
 func (m *Manager) managed(now time.Duration) bool {
--- a/standin/capacity/idle.go
+++ b/standin/capacity/idle.go
@@ -57,18 +57,29 @@
 	}
 }
 
-// Idle measures what control costs each process of a deployment that serves nobody.
-func (r *Report) Idle(ctx context.Context) error {
+// IdleByVMs measures what control costs each process of a deployment that
+// serves nobody, over numbers of VMs.
+func (r *Report) IdleByVMs(ctx context.Context) error {
 	for _, n := range []int{4, 8, 16, 24} {
 		if err := r.idle(ctx, "vms", "VM", n, deployment{vms: n, shards: 256, targets: 12}, "256 shards, 12 targets"); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// IdleByShards does the same over numbers of shards.
+func (r *Report) IdleByShards(ctx context.Context) error {
 	for _, n := range []int{64, 256, 1024, 4096} {
 		if err := r.idle(ctx, "shards", "shard", n, deployment{vms: 8, shards: n, targets: 12}, "8 VMs, 12 targets"); err != nil {
 			return err
 		}
 	}
+	return nil
+}
+
+// IdleByTargets does the same over numbers of targets.
+func (r *Report) IdleByTargets(ctx context.Context) error {
 	for _, n := range []int{6, 12, 24, 48} {
 		if err := r.idle(ctx, "targets", "target", n, deployment{vms: 8, shards: 256, targets: n}, "8 VMs, 256 shards"); err != nil {
 			return err
--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/mangogate/mangogate/standin/capacity"
 	"github.com/urfave/cli/v3"
 )
 
+// allParts are run when none is named.
+var allParts = []string{"core", "log", "idle-vms", "idle-shards", "idle-targets"}
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -28,7 +32,7 @@
 		Name:  "capacity",
 		Usage: "measure what control costs, and fit slopes",
 		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "part", Destination: &parts, Value: []string{"core", "log", "idle", "load"}, Usage: "core, log, idle or load; may be repeated"},
+			&cli.StringSliceFlag{Name: "part", Destination: &parts, Value: allParts, Usage: strings.Join(allParts, ", ") + "; may be repeated"},
 			&cli.StringFlag{Name: "out", Destination: &path, Value: "out/capacity.json"},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
@@ -46,9 +50,11 @@
 	var r capacity.Report
 	began := time.Now()
 	measure := map[string]func() error{
-		"core": r.Core,
-		"log":  func() error { return r.Log(ctx) },
-		"idle": func() error { return r.Idle(ctx) },
+		"core":         r.Core,
+		"log":          func() error { return r.Log(ctx) },
+		"idle-vms":     func() error { return r.IdleByVMs(ctx) },
+		"idle-shards":  func() error { return r.IdleByShards(ctx) },
+		"idle-targets": func() error { return r.IdleByTargets(ctx) },
 	}[part]
 	if measure == nil {
 		return fmt.Errorf("no such part")
