Plan shards and dispatchers only when their inputs have changed

Cause: the manager ranked all VMs for each group every 20 ms and placed all shards every 100 ms. With 2,470 groups and 760 VMs one look at the groups takes 1.6 s (series placement.dispatcher), and one plan of 65,536 shards 66 ms. Ruled out: longer intervals, which would delay the answer to a loss. Change: a choice of dispatchers is kept until a VM, the data centre or the group's entry changes; a plan is left out when its inputs are the same and the last one left nothing to append. The groups of a document are listed once. A plan reads the draining targets of all VMs once, not once for each target.

--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mangogate/mangogate/core/dedupe"
-	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/placement"
 	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/timeline"
@@ -33,6 +32,7 @@
 	// dataEpochs are the last epochs at which a copy can be complete.
 	dataEpochs   []uint64
 	waitingSince time.Duration // for a complete copy
+	chosen       chosenDispatch
 }
 
 // planGroups keeps a dispatcher for each group.
@@ -44,18 +44,12 @@
 		t.adoptGroups()
 	}
 	vms := t.vmList(now)
-	wanted := map[string]bool{}
-	for _, s := range t.doc.Services {
-		t.planGroup(now, shardmap.LedgerGroup(s.Name), t.mainDataCentre(s.Name), vms, wanted)
-		if s.Ownership != inventory.OwnershipKey {
-			continue
-		}
-		for _, target := range t.doc.TargetsOf(s.Name) {
-			t.planGroup(now, s.Name+"/"+target.Name, target.DataCentre, vms, wanted)
-		}
+	t.noteVMs(vms)
+	for _, p := range t.plans {
+		t.planGroup(now, p.name, p.dataCentre, vms)
 	}
 	for name := range t.groups {
-		if !wanted[name] {
+		if !t.wanted[name] {
 			delete(t.groups, name)
 			t.dirty = true
 		}
@@ -77,28 +71,14 @@
 	}
 }
 
-// mainDataCentre returns the data centre with the most targets of a service.
-func (t *tenure) mainDataCentre(service string) string {
-	counts := map[string]int{}
-	best := ""
-	for _, target := range t.doc.TargetsOf(service) {
-		counts[target.DataCentre]++
-		if best == "" || counts[target.DataCentre] > counts[best] {
-			best = target.DataCentre
-		}
-	}
-	return best
-}
-
-func (t *tenure) planGroup(now time.Duration, name, dataCentre string, vms []placement.VM, wanted map[string]bool) {
-	wanted[name] = true
+func (t *tenure) planGroup(now time.Duration, name, dataCentre string, vms []placement.VM) {
 	g := t.groups[name]
 	if g == nil {
 		g = &groupState{}
 		t.groups[name] = g
 	}
 	g.dataCentre = dataCentre
-	want := placement.Dispatchers(name, dataCentre, vms, placement.Dispatch{Dispatcher: g.entry.Dispatcher, Copies: g.entry.Copies})
+	want := t.chooseDispatch(name, dataCentre, g, vms)
 	if !shardmap.IsLedger(name) {
 		want.Copies = nil
 	}
--- a/node/manager/shards.go
+++ b/node/manager/shards.go
@@ -37,7 +37,7 @@
 		if known && have.Fence == a.Fence && have.Owner == a.Owner && slices.Equal(have.Standbys, a.Standbys) {
 			continue
 		}
-		t.assigned[key] = a
+		t.setAssigned(key, a)
 		changed = append(changed, leaseAssignment(a))
 	}
 	t.adopted = version
@@ -63,9 +63,14 @@
 	t.m.replica.View(func(st *control.State) {
 		base = st.AssignVersion()
 		first = t.base == nil && t.ready() && !st.Published()
+		in := t.planInputs(now, st)
+		if t.unplanned(in, first) {
+			return
+		}
+		defer func() { in.nothing, t.lastPlan = len(record) == 0, in }()
 		for _, s := range t.doc.Services {
 			if s.Ownership == inventory.OwnershipKey {
-				record = append(record, t.planService(now, st, s)...)
+				record = append(record, t.planService(now, st, s, in.servers[s.Name])...)
 			}
 		}
 	})
@@ -95,13 +100,13 @@
 }
 
 // planService returns the assignments of a service that the log lacks.
-func (t *tenure) planService(now time.Duration, st *control.State, s inventory.Service) []control.ShardAssignment {
+func (t *tenure) planService(now time.Duration, st *control.State, s inventory.Service, servers []placement.Server) []control.ShardAssignment {
 	shards := make([]placement.Shard, s.Shards)
 	for i := range shards {
 		a := t.assigned[control.ShardKey{Service: s.Name, Shard: i}]
 		shards[i] = placement.Shard{Owner: a.Owner, Standbys: a.Standbys}
 	}
-	next := placement.Assign(s.Name, t.serverList(now, st, s.Name), shards)
+	next := placement.Assign(s.Name, servers, shards)
 	var record []control.ShardAssignment
 	for i, want := range next {
 		key := control.ShardKey{Service: s.Name, Shard: i}
@@ -134,7 +139,7 @@
 	top := max(have.Fence, durable.Fence, t.table.HighestFence(lease.Shard{Service: key.Service, Index: key.Shard}))
 	if s := t.servers[have.Owner]; s != nil && s.lost && slices.Contains(durable.Standbys, want.Owner) {
 		a.Fence = top + 1
-		t.assigned[key] = a
+		t.setAssigned(key, a)
 		t.carryOut(now, t.table.Step(now, lease.Assigned{Assignments: []lease.Assignment{leaseAssignment(a)}}))
 		index := key.Shard
 		t.m.events.Record(timeline.Event{Kind: "shard.promoted_provisionally", Service: key.Service, Shard: &index, Target: a.Owner, Term: t.term})
@@ -152,35 +157,10 @@
 		return
 	}
 	a.Fence = f.Highest + 1
-	t.assigned[key] = a
+	t.setAssigned(key, a)
 	t.carryOut(now, t.table.Step(now, lease.Assigned{Assignments: []lease.Assignment{leaseAssignment(a)}}))
 }
 
-func (t *tenure) serverList(now time.Duration, st *control.State, service string) []placement.Server {
-	var out []placement.Server
-	for _, target := range t.doc.TargetsOf(service) {
-		s := t.servers[target.Name]
-		// A server that has not answered yet is given the time that its old
-		// lease may last before its shards are moved.
-		heard := s != nil && !s.lost && (s.answered || now-t.started < mapLeaseBound)
-		out = append(out, placement.Server{
-			Name: target.Name, DataCentre: target.DataCentre, Weight: target.EffectiveWeight(),
-			Available: heard && !st.TargetOut(target) && !t.saysDraining(target.Name),
-		})
-	}
-	return out
-}
-
-// saysDraining tells whether a dispatcher reports that the target is leaving.
-func (t *tenure) saysDraining(target string) bool {
-	for _, v := range t.vms {
-		if slices.Contains(v.report.Draining, target) {
-			return true
-		}
-	}
-	return false
-}
-
 // appendAssignments writes one record at a time. Its effect comes back through
 // the replay, so that an unknown result needs no treatment here.
 func (t *tenure) appendAssignments(base uint64, shards []control.ShardAssignment, published bool) {
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -7,6 +7,7 @@
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/lease"
+	"github.com/mangogate/mangogate/core/placement"
 	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/timeline"
 )
@@ -42,14 +43,20 @@
 	adopted  uint64 // assign version that assigned rests on
 	routes   map[string][]shardmap.Route
 	blocked  map[control.ShardKey]blockedShard
-
-	groups   map[string]*groupState
-	epochs   uint64
-	base     *shardmap.Map // newest map of earlier terms that a VM reported
-	fresh    bool          // no map was ever published
-	sequence uint64
-	current  *shardmap.Map
-	dirty    bool
+	changes  uint64 // of assigned
+	lastPlan planInputs
+
+	plans     []groupPlan     // groups that the document asks for
+	wanted    map[string]bool // their names
+	lastVMs   []placement.VM
+	vmChanges uint64 // of lastVMs
+	groups    map[string]*groupState
+	epochs    uint64
+	base      *shardmap.Map // newest map of earlier terms that a VM reported
+	fresh     bool          // no map was ever published
+	sequence  uint64
+	current   *shardmap.Map
+	dirty     bool
 
 	opened       bool // the own Term record was read back
 	appending    bool
@@ -172,5 +179,9 @@
 			t.routes[s.Name] = make([]shardmap.Route, s.Shards)
 		}
 	}
+	t.plans, t.wanted = planList(&t.doc), map[string]bool{}
+	for _, p := range t.plans {
+		t.wanted[p.name] = true
+	}
 	t.dirty = true
 }
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/mangogate/mangogate/core/control"
@@ -223,6 +224,7 @@
 			})
 		}
 	})
+	slices.SortFunc(out, func(a, b placement.VM) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
