--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -14,7 +14,7 @@
 )
 
 // allParts are run when none is named.
-var allParts = []string{"core", "log", "idle-vms", "idle-shards", "idle-targets"}
+var allParts = []string{"core", "log", "idle-vms", "idle-shards", "idle-targets", "load"}
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
@@ -54,6 +54,7 @@
 		"log":          func() error { return r.Log(ctx) },
 		"idle-vms":     func() error { return r.IdleByVMs(ctx) },
 		"idle-shards":  func() error { return r.IdleByShards(ctx) },
+		"load":         func() error { return r.Load(ctx) },
 		"idle-targets": func() error { return r.IdleByTargets(ctx) },
 	}[part]
 	if measure == nil {
