--- a/node/manager/balance.go
+++ b/node/manager/balance.go
@@ -86,6 +86,14 @@
 	return placement.Rebalance(service, servers, loaded, budget)
 }
 
+// balanceRound numbers the rounds of balancing in a term; 0 before the first.
+func balanceRound(age time.Duration) int64 {
+	if age < loadsAfter {
+		return 0
+	}
+	return int64(age / balanceInterval)
+}
+
 // uneven tells whether a server's load is above its share by more than chance.
 func uneven(shards []placement.Shard, servers []placement.Server, total float64) bool {
 	loads := map[string]float64{}
--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mangogate/mangogate/core/dedupe"
-	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/placement"
 	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/timeline"
@@ -37,6 +36,7 @@
 	// avoid is a VM that did not reach the group's target, until avoidUntil.
 	avoid      string
 	avoidUntil time.Duration
+	chosen     chosenDispatch
 }
 
 // planGroups keeps a dispatcher for each group.
@@ -48,19 +48,12 @@
 		t.adoptGroups()
 	}
 	vms := t.vmList(now)
-	wanted := map[string]bool{}
-	for _, s := range t.doc.Services {
-		t.planGroup(now, shardmap.LedgerGroup(s.Name), t.mainDataCentre(s.Name), vms, wanted)
-		if s.Ownership != inventory.OwnershipKey {
-			continue
-		}
-		for _, target := range t.doc.TargetsOf(s.Name) {
-			name := s.Name + "/" + target.Name
-			t.planGroup(now, name, target.DataCentre, t.reaching(now, name, target.Name, vms), wanted)
-		}
+	t.noteVMs(vms)
+	for _, p := range t.plans {
+		t.planGroup(now, p, vms)
 	}
 	for name := range t.groups {
-		if !wanted[name] {
+		if !t.wanted[name] {
 			delete(t.groups, name)
 			t.dirty = true
 		}
@@ -82,33 +75,16 @@
 	}
 }
 
-// mainDataCentre returns the data centre with the most targets of a service.
-func (t *tenure) mainDataCentre(service string) string {
-	counts := map[string]int{}
-	best := ""
-	for _, target := range t.doc.TargetsOf(service) {
-		counts[target.DataCentre]++
-		if best == "" || counts[target.DataCentre] > counts[best] {
-			best = target.DataCentre
-		}
-	}
-	return best
-}
-
-func (t *tenure) planGroup(now time.Duration, name, dataCentre string, vms []placement.VM, wanted map[string]bool) {
-	wanted[name] = true
+func (t *tenure) planGroup(now time.Duration, p groupPlan, vms []placement.VM) {
+	name := p.name
 	g := t.groups[name]
 	if g == nil {
 		g = &groupState{}
 		t.groups[name] = g
 	}
-	g.dataCentre = dataCentre
-	current := placement.Dispatch{Dispatcher: g.entry.Dispatcher, Copies: g.entry.Copies}
+	g.dataCentre = p.dataCentre
 	restarted := t.bootOf(g.entry.Dispatcher) != g.entry.DispatcherBoot
-	if restarted {
-		current.Dispatcher = "" // a process started since knows no write intents
-	}
-	want := placement.Dispatchers(name, dataCentre, vms, current)
+	want := t.chooseDispatch(now, p, g, vms, restarted)
 	if !shardmap.IsLedger(name) {
 		want.Copies = nil
 	}
--- a/node/manager/reach.go
+++ b/node/manager/reach.go
@@ -56,28 +56,28 @@
 }
 
 // reaching returns the VMs that may dispatch to a target: without one that the
-// target no longer answers while it answers this VM.
-func (t *tenure) reaching(now time.Duration, group, target string, vms []placement.VM) []placement.VM {
-	g, s := t.groups[group], t.servers[target]
-	if g == nil || s == nil {
-		return vms
+// target no longer answers while it answers this VM, which it names.
+func (t *tenure) reaching(now time.Duration, target string, g *groupState, vms []placement.VM) (reach []placement.VM, avoided string) {
+	s := t.servers[target]
+	if s == nil {
+		return vms, ""
 	}
 	if v := t.vms[g.entry.Dispatcher]; v != nil && g.entry.Active && now >= g.avoidUntil {
 		// An answer that came after the VM's report says nothing about the VM.
 		if at, ok := v.heardTarget(target); ok && min(s.heardAt, v.repliedAt)-at >= silentFor {
 			g.avoid, g.avoidUntil = v.name, now+avoidTime
-			t.m.events.Record(timeline.Event{Kind: "group.unreached", Group: group, Target: target, Term: t.term, Detail: v.name})
+			t.m.events.Record(timeline.Event{Kind: "group.unreached", Target: target, Term: t.term, Detail: v.name})
 		}
 	}
 	if now >= g.avoidUntil {
-		return vms
+		return vms, ""
 	}
 	out := slices.Clone(vms)
 	for i := range out {
 		out[i].Available = out[i].Available && out[i].Name != g.avoid
 	}
 	if !slices.ContainsFunc(out, func(p placement.VM) bool { return p.Available }) {
-		return vms
+		return vms, ""
 	}
-	return out
+	return out, g.avoid
 }
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -8,6 +8,7 @@
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/core/lease"
+	"github.com/mangogate/mangogate/core/placement"
 	"github.com/mangogate/mangogate/core/shardmap"
 	"github.com/mangogate/mangogate/node/timeline"
 )
@@ -43,11 +44,17 @@
 	adopted  uint64 // assign version that assigned rests on
 	routes   map[string][]shardmap.Route
 	blocked  map[control.ShardKey]blockedShard
+	changes  uint64 // of assigned
+	lastPlan planInputs
 
 	loads         map[control.ShardKey]shardLoad
 	balancedAt    map[string]time.Duration // by service
 	dispatchersAt time.Duration
 
+	plans      []groupPlan     // groups that the document asks for
+	wanted     map[string]bool // their names
+	lastVMs    []placement.VM
+	vmChanges  uint64 // of lastVMs
 	groups     map[string]*groupState
 	groupEvent string // kind of the event for a new entry
 	epochs     uint64
@@ -184,5 +191,9 @@
 			t.routes[s.Name] = make([]shardmap.Route, s.Shards)
 		}
 	}
+	t.plans, t.wanted = planList(&t.doc), map[string]bool{}
+	for _, p := range t.plans {
+		t.wanted[p.name] = true
+	}
 	t.dirty = true
 }
