Test service with the log down, slow or losing answers

A log slower than platform.timeout (1 s) counts as down: promotions become durable after it has returned.

--- a/cmd/integration/log_test.go
+++ b/cmd/integration/log_test.go
@@ -79,9 +79,12 @@
 	for _, tc := range []struct {
 		name   string
 		faults map[string]any
+		// down is set when answers take longer than the VMs' platform.timeout
+		// of 1 s. Such a log is as good as down: nothing becomes durable.
+		down bool
 	}{
-		{"answers delayed by 2 s", map[string]any{"delay_ms": 2000}},
-		{"answers lost", map[string]any{"lose_answers": 1}},
+		{"answers delayed by 2 s", map[string]any{"delay_ms": 2000}, true},
+		{"answers lost", map[string]any{"lose_answers": 1}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			setLog(t, c, tc.faults)
@@ -92,6 +95,10 @@
 			require.NoError(t, boss.Kill())
 			require.NoError(t, target.Kill())
 			all.waitServedSince(at)
+			if tc.down {
+				require.Empty(t, events(t, c, "assignments.durable", at, time.Now()))
+				setLog(t, c, map[string]any{})
+			}
 			waitDurable(t, c, at)
 			require.NoError(t, boss.Restart())
 			require.NoError(t, target.Restart())
--- a/cmd/integration/server_test.go
+++ b/cmd/integration/server_test.go
@@ -33,11 +33,20 @@
 		// the next owner began is out of its reach; nothing else may overlap.
 		rest, caught := history.WithoutCaught(ran, []history.Pause{pause}, c.Arrivals())
 		t.Logf("requests that the frozen server had and ran later: %d", len(caught))
+		for _, e := range rest {
+			if e.Target == pause.Target && e.StartUS < pause.UntilUS+resumed && e.EndUS >= pause.UntilUS {
+				t.Logf("%s fence %d at %s arrived %d, ran %d to %d; paused %d to %d", e.Key, e.Fence, e.Target,
+					c.Arrivals()[e.RequestID], e.StartUS, e.EndUS, pause.FromUS, pause.UntilUS)
+			}
+		}
 		require.Empty(t, history.Owners(rest), "two owners of a key")
 		require.Empty(t, history.Writes(ran), "a write ran twice")
 	})
 }
 
+// resumed is the time after a pause, in microseconds, whose requests are printed.
+const resumed = 500_000
+
 // ownerOf returns the target that owns a key of a service.
 func ownerOf(t *testing.T, c *cluster.Cluster, service string) *cluster.Target {
 	t.Helper()
