Bound the wait for reports of copies by one map lease

Cause: twice the lease could bring the loss of manager and dispatcher above 4 s.

Ruled out: no bound; a copy holder that is lost never reports.

Change: the wait ends with the lost dispatcher's lease. The silent-connection test names the events that it objects to.

Figures: none; the case with no complete copy alive was not measured.

Conclusion: the wait no longer adds to the unavailable time.

--- a/cmd/integration/silent_test.go
+++ b/cmd/integration/silent_test.go
@@ -51,7 +51,7 @@
 			bookings.waitServed(300)
 			waitSince(t, held, servedAgain)
 			requireRecovered(t, c, held, status, bookings)
-			require.Equal(t, before, lossEvents(t, c), "a target or VM was given up")
+			require.Empty(t, lossEvents(t, c)[len(before):], "a target or VM was given up")
 		})
 	}
 }
@@ -123,15 +123,15 @@
 	requireSafe(t, c, loads...)
 }
 
-// lossEvents counts the events that give up a target or a VM.
-func lossEvents(t *testing.T, c *cluster.Cluster) (n int) {
+// lossEvents returns the events that give up a target or a VM.
+func lossEvents(t *testing.T, c *cluster.Cluster) (out []string) {
 	t.Helper()
 	events, err := c.Timeline(t.Context(), c.VMs[0])
 	require.NoError(t, err)
 	for _, e := range events {
 		if slices.Contains(declaredLost, e.Kind) {
-			n++
+			out = append(out, fmt.Sprintf("%d %s %s %s%s %s", e.Stamp.WallUS, e.VM, e.Kind, e.Group, e.Target, e.Detail))
 		}
 	}
-	return n
+	return out
 }
--- a/node/manager/groups.go
+++ b/node/manager/groups.go
@@ -204,7 +204,9 @@
 // is installed; without this wait, a loss of the manager together with the
 // dispatcher would count as the loss of all copies.
 func (t *tenure) copiesUnheard(now time.Duration, g *groupState) bool {
-	if now >= t.started+2*mapLeaseBound {
+	// The lease of the lost dispatcher has to end as well; until then the wait
+	// costs nothing.
+	if now >= t.started+mapLeaseBound {
 		return false
 	}
 	return slices.ContainsFunc(g.entry.Copies, func(vm string) bool {
