Put a target that returns to service at one slot

Cause: a pool target that operators had taken out kept its warm limit, so on its return it got full load at once. TestOutAndIn: 'bookings-1 ran two of its first requests at once'.

Ruled out: keyed targets, whose group is taken up anew.

Change: a change from not available to available puts the target at one slot.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -67,8 +67,8 @@
 // Cancel withdraws a request that waits. A started one ends by Finish.
 type Cancel struct{ ID ID }
 
-// TargetSeen sets or updates a target. A new BootID, or Granted, puts the
-// target at one slot. Available is false while it is draining, not granted,
+// TargetSeen sets or updates a target. A new BootID, Granted, or a return to
+// Available puts the target at one slot. Available is false while it is draining, not granted,
 // or out of service.
 type TargetSeen struct {
 	Target    string
--- a/core/admission/target.go
+++ b/core/admission/target.go
@@ -55,12 +55,14 @@
 
 func (t *target) seen(ev TargetSeen) {
 	first := t.bootID != ev.BootID || t.generation == 0 || t.gone
+	// A target that was out of service may have gone cold meanwhile.
+	returned := !t.available && ev.Available
 	t.gone = false
 	t.bootID, t.slots, t.available = ev.BootID, ev.Slots, ev.Available && ev.Slots > 0
 	if first {
 		t.recent, t.pauses, t.pausedUntil, t.failures, t.penaltyUntil = t.usual, 0, 0, 0, 0
 	}
-	if first || ev.Granted {
+	if first || ev.Granted || returned {
 		t.setLimit(1)
 	} else if t.limit > max(1, t.slots) {
 		t.setLimit(t.slots)
