Let a keeper of write intents that hands over end what it has in flight

Cause: once the map named the next keeper, the former one no longer copied withdrawals and outcomes, and other VMs did not tell it about them. An intent that was never sent was therefore promoted to unknown by the next keeper, and the caller got 502 outcome-unknown for every repeat of the key.

Ruled out: the crash of a target (none was recorded) and the retry budget.

Change: until the next keeper is active, the former one goes on copying, and the VMs tell the keeper that allowed the attempt.

--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -60,7 +60,9 @@
 		return refusedByLedger(begun)
 	}
 	result := s.run(ctx, req)
-	s.ledger.Finish(finishArgs(args, result))
+	end := finishArgs(args, result)
+	end.Keeper = begun.Keeper
+	s.ledger.Finish(end)
 	return result
 }
 
--- a/node/ledger/book.go
+++ b/node/ledger/book.go
@@ -20,10 +20,13 @@
 type book struct {
 	group string
 
-	mu       sync.Mutex
-	table    *dedupe.Table
-	epoch    uint64 // of the group's map entry
-	keeper   bool   // this VM is the active dispatcher
+	mu     sync.Mutex
+	table  *dedupe.Table
+	epoch  uint64 // of the group's map entry
+	keeper bool   // this VM is the active dispatcher
+	// handing says that this VM was the active dispatcher and the next one is
+	// not active yet: what is in flight here still ends here.
+	handing  bool
 	copies   []string
 	attempts map[string]attempt // by key
 	settled  chan struct{}      // closed when an attempt finishes
@@ -52,9 +55,11 @@
 	}
 	if !g.Active {
 		// The earlier dispatcher still copies the outcomes of what it has in flight.
+		b.handing = b.handing || b.keeper
 		b.keeper = false
 		return false, 0
 	}
+	b.handing = false
 	wasKeeper := b.keeper
 	if !wasKeeper || !keeps || !b.table.Renew(g.Epoch) {
 		b.table.Observe(g.Epoch)
--- a/node/ledger/copies.go
+++ b/node/ledger/copies.go
@@ -14,6 +14,26 @@
 	errMayHaveRun = errors.New("the copy holder knows of an earlier attempt")
 )
 
+// keeperOf returns the VM that dispatches a group now.
+func (l *Ledger) keeperOf(group string) (vm, address string, ok bool) {
+	m := l.maps.Current()
+	if m == nil {
+		return "", "", false
+	}
+	g, ok := m.Groups[group]
+	if !ok || !g.Active {
+		return "", "", false
+	}
+	return g.Dispatcher, m.Peers[g.Dispatcher], true
+}
+
+func (l *Ledger) addressOf(vm string) string {
+	if m := l.maps.Current(); m != nil {
+		return m.Peers[vm]
+	}
+	return ""
+}
+
 // syncCopies makes every copy complete at the group's epoch.
 func (l *Ledger) syncCopies(b *book, g shardmap.Group, previous uint64) {
 	for _, vm := range g.Copies {
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -167,30 +167,21 @@
 		return BeginReply{Decision: Moved}
 	}
 	if keeper == l.vm {
-		return l.begin(ctx, args)
+		reply := l.begin(ctx, args)
+		reply.Keeper = keeper
+		return reply
 	}
 	var reply BeginReply
 	if err := l.peers.Call(ctx, address, "Ledger.Begin", &args, &reply); err != nil {
 		// The keeper may have recorded the intent; nothing was sent, so the
 		// attempt is over and provably did not run.
-		l.Finish(FinishArgs{Group: args.Group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun})
+		l.Finish(FinishArgs{Group: args.Group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun, Keeper: keeper})
 		return BeginReply{Decision: Moved}
 	}
+	reply.Keeper = keeper
 	return reply
 }
 
-func (l *Ledger) keeperOf(group string) (vm, address string, ok bool) {
-	m := l.maps.Current()
-	if m == nil {
-		return "", "", false
-	}
-	g, ok := m.Groups[group]
-	if !ok || !g.Active {
-		return "", "", false
-	}
-	return g.Dispatcher, m.Peers[g.Dispatcher], true
-}
-
 // begin runs on the keeper.
 func (l *Ledger) begin(ctx context.Context, args BeginArgs) BeginReply {
 	ctx, cancel := context.WithTimeout(ctx, args.Remaining)
@@ -328,11 +319,14 @@
 // another VM it does not wait.
 func (l *Ledger) Finish(args FinishArgs) {
 	keeper, address, ok := l.keeperOf(args.Group)
-	if ok && keeper == l.vm {
+	if !ok {
+		keeper, address = args.Keeper, l.addressOf(args.Keeper)
+	}
+	if keeper == l.vm {
 		l.finish(args)
 		return
 	}
-	if !ok {
+	if address == "" {
 		return // the keeper takes an attempt that does not finish as unknown
 	}
 	go func() {
@@ -374,7 +368,7 @@
 	if open {
 		b.settle(args.Key)
 	}
-	if b.keeper && len(b.copies) > 0 {
+	if (b.keeper || b.handing) && len(b.copies) > 0 {
 		b.pending++
 		go l.copyOutcome(b, b.copies, copied)
 	}
--- a/node/ledger/messages.go
+++ b/node/ledger/messages.go
@@ -35,6 +35,7 @@
 type BeginReply struct {
 	Decision Decision
 	Answer   *dedupe.Answer
+	Keeper   string // VM that decided; set by the VM that asked
 }
 
 // Outcome is how an attempt ended.
@@ -54,6 +55,9 @@
 	Attempt string
 	Outcome Outcome
 	Answer  *dedupe.Answer // for OutcomeDone
+	// Keeper is the VM that allowed the attempt. It is told while the group
+	// passes to another VM that is not active yet.
+	Keeper string
 }
 
 // CopyArgs carries entries to a copy holder.
