Compare a change with the end of the log

Cause: a VM whose replica lagged answered 'no change' to a command that came after an opposite one, so that the later command was lost with exit code 0. TestLateCommandAtLaggingVM: expected accepted, got no-change.

Change: a change reads the log to its end before it is compared with the state. While the log is down, an equal change is refused as well, because nobody knows.

After: accepted, and all VMs agree.

--- a/node/admin/change.go
+++ b/node/admin/change.go
@@ -89,6 +89,9 @@
 		writeJSON(w, http.StatusUnprocessableEntity, ChangeReply{Result: ResultInvalid, Detail: err.Error()})
 		return
 	}
+	if !a.catchUp(w, r) {
+		return
+	}
 	var current inventory.Document
 	var version, config uint64
 	a.replica.View(func(st *control.State) {
@@ -102,6 +105,18 @@
 	a.change(w, r, control.Record{Document: &control.DocumentChange{Base: req.Base, Author: req.Author, Document: req.Document}})
 }
 
+// catchUp reads the log to its end, so that a change is not compared with an
+// older state than the one that its author may have seen.
+func (a *Admin) catchUp(w http.ResponseWriter, r *http.Request) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+	defer cancel()
+	if err := a.replica.CatchUp(ctx); err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, "nothing was changed: "+err.Error())
+		return false
+	}
+	return true
+}
+
 // normal makes documents comparable that differ only in how empty lists are written.
 func normal(doc inventory.Document) string {
 	data, err := json.Marshal(doc)
@@ -120,6 +135,9 @@
 		writeProblem(w, http.StatusNotFound, problem)
 		return
 	}
+	if !a.catchUp(w, r) {
+		return
+	}
 	var current control.Drain
 	var config uint64
 	a.replica.View(func(st *control.State) {
--- a/node/replica/read.go
+++ b/node/replica/read.go
@@ -101,6 +101,7 @@
 	if r.ready && !r.probeFrom.After(r.endReadBegan) {
 		wait = longPoll
 	}
+	r.heldRead = wait > 0
 	return r.state.Next(), wait
 }
 
--- a/node/replica/replica.go
+++ b/node/replica/replica.go
@@ -64,6 +64,7 @@
 	endReadBegan time.Time // when the last read that reached the end was sent
 	probeFrom    time.Time // a read sent after this instant is wanted, without holding it open
 	abortRead    context.CancelFunc
+	heldRead     bool // the present read is held open until there is a record
 	pending      *pendingAppend
 	seq          uint64 // last sequence number given out
 
