Keep what operators have taken out free of work when a VM cannot read the log

Cause: a dispatcher, or the manager, that could reach the other VMs but not the log never learned of the command: targets got work more than 1.9 s after the limit of 3 s in TestOutDuringFailures, for as long as the cut lasted.

Ruled out: waiting for the end of the map lease; the manager goes on renewing it.

Change: a VM that lacks the configuration of the map for 1 s is given no group; a manager that lacks one which another VM has for 1 s gives its term up; a held read is ended when another VM is known to be ahead, because its connection may be silent; a dispatcher looks at what is out every 100 ms, and after 2.5 s sends nothing to a leaving target even if its shards were not handed over.

--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -32,6 +32,12 @@
 	tickInterval = 10 * time.Millisecond // expiry of queued requests
 	loadInterval = 500 * time.Millisecond
 	loadTimeout  = 400 * time.Millisecond
+	// refreshInterval is the time between two looks at what is out of service.
+	refreshInterval = 100 * time.Millisecond
+	// handoverPatience is how long a target that is leaving works on while
+	// its shards are handed over. It is below the 3 s after which such a
+	// target gets no new work, also when there is no manager.
+	handoverPatience = 2500 * time.Millisecond
 )
 
 // Service is the module.
@@ -55,6 +61,8 @@
 	budget     *retry.Budget
 	unhealthy  map[string]bool // targets that refuse connections
 	draining   map[string]bool // targets that say so
+	// leavingSince is since when a target is out of service or draining.
+	leavingSince map[string]time.Duration
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -78,7 +86,7 @@
 		quarantine: quarantine.New(quarantine.DefaultConfig()),
 		alone:      map[uint64]bool{},
 		budget:     retry.NewBudget(retry.DefaultBudgetConfig(), c.Now()),
-		unhealthy:  map[string]bool{}, draining: map[string]bool{},
+		unhealthy:  map[string]bool{}, draining: map[string]bool{}, leavingSince: map[string]time.Duration{},
 		counters: counters{
 			sent: counter("sent"), retried: counter("retried"), notRun: counter("not_run"),
 			unknown: counter("unknown"), moved: counter("moved"), gated: counter("gated"),
@@ -115,9 +123,10 @@
 
 // Start runs the timers.
 func (s *Service) Start(context.Context) error {
-	s.wg.Add(2)
+	s.wg.Add(3)
 	go s.every(tickInterval, s.tick)
 	go s.every(loadInterval, s.observeAll)
+	go s.every(refreshInterval, s.refreshAll)
 	return nil
 }
 
@@ -161,6 +170,7 @@
 
 // MapInstalled implements mapstore.Listener.
 func (s *Service) MapInstalled(m *shardmap.Map) {
+	s.replica.Expect(m.ConfigVersion)
 	for name, entry := range m.Groups {
 		if entry.DispatchedBy(s.vm, s.maps.BootID()) {
 			s.takeUp(name)
--- a/node/dispatch/group.go
+++ b/node/dispatch/group.go
@@ -184,6 +184,14 @@
 	return formerBoot
 }
 
+// knows tells whether the target was seen before.
+func (g *group) knows(target string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.boots[target]
+	return ok
+}
+
 func (g *group) removed(target string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/dispatch/observe.go
+++ b/node/dispatch/observe.go
@@ -33,7 +33,8 @@
 }
 
 // available tells whether a target may get new work. A target with keys that
-// is being drained works on until its shards are handed over.
+// is being drained works on until its shards are handed over, but not for
+// longer than handoverPatience.
 func (s *Service) available(t inventory.Target) bool {
 	var out, keyed bool
 	s.replica.View(func(st *control.State) {
@@ -44,10 +45,29 @@
 	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	leaves := out || s.draining[t.Name]
+	if !leaves {
+		delete(s.leavingSince, t.Name)
+	} else if _, known := s.leavingSince[t.Name]; !known {
+		s.leavingSince[t.Name] = s.clock.Now()
+	}
 	if s.unhealthy[t.Name] {
 		return false
 	}
-	return keyed || !(out || s.draining[t.Name])
+	return !leaves || keyed && s.clock.Now()-s.leavingSince[t.Name] < handoverPatience
+}
+
+// refreshAll brings the groups in line with what is out of service, without
+// asking the targets.
+func (s *Service) refreshAll() {
+	for _, g := range s.allGroups() {
+		_, members := s.targetsOf(g.name)
+		for _, t := range members {
+			if g.knows(t.Name) {
+				g.seen(admission.TargetSeen{Target: t.Name, Slots: t.Slots, Available: s.available(t)})
+			}
+		}
+	}
 }
 
 // observeAll asks the targets of all dispatched groups for their load and
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mangogate/mangogate/core/authority"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/placement"
 	"github.com/mangogate/mangogate/core/shardmap"
@@ -19,6 +20,10 @@
 	// half of the members before it takes the newest map that it was shown.
 	collectTime  = 150 * time.Millisecond
 	collectRetry = 50 * time.Millisecond
+	// maxConfigLag is how long a VM may lack the configuration and still
+	// dispatch or manage. It leaves time for the change of both within the 3 s
+	// after which something taken out of service gets no new work.
+	maxConfigLag = time.Second
 )
 
 // vmState is what the manager knows of a VM in this term.
@@ -37,12 +42,40 @@
 	clock     time.Duration // its reading in the last reply
 	bootID    string
 	installed uint64 // sequence of the installed map of this term
-	report    mapstore.Report
+	// behindSince is since when the VM lacks the configuration of this
+	// manager, aheadSince since when it has a later one; 0 means neither.
+	behindSince, aheadSince time.Duration
+	report                  mapstore.Report
 
 	sending bool
 	sentAt  time.Duration
 }
 
+// lags tells whether the VM has lacked the configuration for too long to
+// dispatch: it does not know what operators have taken out of service.
+func (v *vmState) lags(now time.Duration) bool {
+	return v.behindSince > 0 && now-v.behindSince >= maxConfigLag
+}
+
+// compareConfig notes how far the VM has replayed the configuration. A manager
+// that cannot read what others have read gives its term up.
+func (t *tenure) compareConfig(now time.Duration, v *vmState) {
+	note := func(since *time.Duration, differs bool) {
+		if !differs {
+			*since = 0
+		} else if *since == 0 {
+			*since = now
+		}
+	}
+	note(&v.behindSince, v.report.ConfigVersion < t.config)
+	note(&v.aheadSince, v.report.ConfigVersion > t.config)
+	t.m.replica.Expect(v.report.ConfigVersion)
+	if v.aheadSince > 0 && now-v.aheadSince >= maxConfigLag {
+		t.m.logger.Warn("giving the term up: the control log cannot be read here, but elsewhere", "vm", v.name)
+		t.m.act(t.m.node.Step(now, authority.Resign{}))
+	}
+}
+
 // heardAt returns when the clock reading that a lease can be counted from came in.
 func (v *vmState) heardAt() time.Duration { return max(v.repliedAt, v.collectedAt) }
 
@@ -234,7 +267,7 @@
 		for _, v := range t.vms {
 			out = append(out, placement.VM{
 				Name: v.name, DataCentre: v.dataCentre,
-				Available: v.reachable(now) && !v.report.Leaving && !st.VMOut(v.name, v.dataCentre),
+				Available: v.reachable(now) && !v.lags(now) && !v.report.Leaving && !st.VMOut(v.name, v.dataCentre),
 			})
 		}
 	})
@@ -312,4 +345,5 @@
 	v.replied, v.repliedAt, v.clock, v.bootID = true, now, reply.Clock, reply.BootID
 	v.installed = reply.Sequence // 0 for a process that was started since
 	v.report = reply.Report
+	t.compareConfig(now, v)
 }
