Stop all VMs at once without waiting for a hand-over

Cause: a VM that stopped waited until the map named another dispatcher, also when every VM was stopping: 20.3 s until shutdown.finish, and exit code 1 (TestStopOfAllVMs, limit 10 s).

Change: the hand-over is given up when no other VM that stays has answered for 1.5 s. What is in flight is finished as before.

--- a/cmd/integration/operate_test.go
+++ b/cmd/integration/operate_test.go
@@ -17,6 +17,7 @@
 	"github.com/mangogate/mangogate/node/logclient"
 	"github.com/mangogate/mangogate/node/timeline"
 	"github.com/mangogate/mangogate/standin/cluster"
+	"github.com/mangogate/mangogate/standin/target"
 	"github.com/stretchr/testify/require"
 )
 
@@ -160,3 +161,28 @@
 	}
 	return string(out), cmd.ProcessState.ExitCode()
 }
+
+// runningAt returns nil when n requests run at the targets of a service.
+func runningAt(t *testing.T, c *cluster.Cluster, service string, n int) error {
+	t.Helper()
+	sum := 0
+	for _, target := range c.Targets {
+		if target.Service == service {
+			sum += targetStats(t, target).Running
+		}
+	}
+	if sum != n {
+		return fmt.Errorf("%d requests run, not %d", sum, n)
+	}
+	return nil
+}
+
+// targetStats returns what a target counted since its start.
+func targetStats(t *testing.T, tg *cluster.Target) (s target.Stats) {
+	t.Helper()
+	resp, err := caller.Get("http://" + tg.Direct + "/mangogate/stats")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	decode(t, resp, &s)
+	return s
+}
--- a/node/admin/status.go
+++ b/node/admin/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangogate/mangogate/core/control"
@@ -144,6 +145,18 @@
 	return out
 }
 
+// OthersStay tells whether another VM answers that is not stopping.
+func (a *Admin) OthersStay(ctx context.Context) bool {
+	var found atomic.Bool
+	a.askAll(ctx, func(ctx context.Context, _, address string) {
+		var s VMStatus
+		if err := a.peers.Call(ctx, address, "Admin.Status", &Nothing{}, &s); err == nil && !s.Leaving {
+			found.Store(true)
+		}
+	})
+	return found.Load()
+}
+
 // Timeline merges the events of all VMs in causal order.
 func (a *Admin) Timeline(ctx context.Context) []timeline.Event {
 	lists := make(chan []timeline.Event, 1024)
--- a/node/vm/vm.go
+++ b/node/vm/vm.go
@@ -35,6 +35,11 @@
 	// writes a snapshot.
 	snapshotEvery = 1000
 	handoverPoll  = 20 * time.Millisecond
+	// successorPoll is the time between two looks for other VMs that stay.
+	successorPoll = 250 * time.Millisecond
+	// successorPatience is how long none must have been found: a VM that is
+	// busy may miss one call.
+	successorPatience = 1500 * time.Millisecond
 )
 
 // VM is one VM's process.
@@ -127,15 +132,32 @@
 	ctx, cancel := context.WithTimeout(ctx, v.settings.Shutdown.LeaveBalancer.Std()+v.settings.Shutdown.Finish.Std())
 	defer cancel()
 	sleep(ctx, v.settings.Shutdown.LeaveBalancer.Std())
-	for ctx.Err() == nil && v.dispatches() {
-		sleep(ctx, handoverPoll)
-	}
+	v.handOver(ctx)
 	for ctx.Err() == nil && v.dispatch.InFlight() > 0 {
 		sleep(ctx, handoverPoll)
 	}
 	return v.kernel.Stop(ctx)
 }
 
+// handOver waits until other VMs dispatch what this one did. It gives up when
+// all others are stopping as well or cannot be reached for successorPatience.
+func (v *VM) handOver(ctx context.Context) {
+	hadSuccessor := time.Now()
+	for asked := hadSuccessor; ctx.Err() == nil && v.dispatches(); sleep(ctx, handoverPoll) {
+		if time.Since(asked) < successorPoll {
+			continue
+		}
+		if v.admin.OthersStay(ctx) {
+			hadSuccessor = time.Now()
+		}
+		asked = time.Now()
+		if asked.Sub(hadSuccessor) >= successorPatience {
+			v.logger.Info("no other VM stays to hand over to")
+			return
+		}
+	}
+}
+
 // Abort closes the VM's listeners without a hand-over, as a crash would.
 func (v *VM) Abort() {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standin/loadgen/call.go
+++ b/standin/loadgen/call.go
@@ -129,7 +129,7 @@
 // the transport never repeats a write by itself: it would do so because of the
 // idempotency key.
 func (r *runner) request(ctx context.Context, c *call) (*http.Request, error) {
-	entry := r.cfg.Entries[int(r.turn.Add(1)-1)%len(r.cfg.Entries)]
+	entry := r.entry()
 	if !strings.Contains(entry, "://") {
 		entry = "http://" + entry
 	}
@@ -154,6 +154,17 @@
 	return req, nil
 }
 
+// entry returns the next entry in turn.
+func (r *runner) entry() string {
+	entries := r.cfg.Entries
+	if r.cfg.Balance != nil {
+		if now := r.cfg.Balance(); len(now) > 0 {
+			entries = now
+		}
+	}
+	return entries[int(r.turn.Add(1)-1)%len(entries)]
+}
+
 // failure classifies an attempt without a complete answer.
 func failure(parent context.Context, err error) attempt {
 	if parent.Err() != nil {
--- a/standin/loadgen/config.go
+++ b/standin/loadgen/config.go
@@ -22,6 +22,9 @@
 type Config struct {
 	Entries  []string      `json:"entries"` // addresses, used in turn
 	Duration time.Duration `json:"duration"`
+	// Balance returns the entries in use now, as a load balancer knows them;
+	// nil or an empty answer means Entries.
+	Balance func() []string `json:"-"`
 
 	// Rate is the mean of Poisson arrivals in requests per second. With 0, each
 	// of Callers callers sends its next request after the answer to the last.
