--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -31,6 +31,21 @@
 	Refusals []Refusal
 }
 
+// maxLease is far above the leases that managers give, and keeps sums of
+// clock readings from overflowing.
+const maxLease = time.Minute
+
+// check returns what no manager sends.
+func (a *InstallArgs) check(now time.Duration) error {
+	switch {
+	case a.Map != nil && a.Map.Term != a.Term:
+		return errors.Errorf("map of term %d was sent in term %d", a.Map.Term, a.Term)
+	case a.BootID != "" && a.Echo < 0, a.Lease < 0 || a.Lease > maxLease:
+		return errors.Errorf("a lease of %v from reading %v is out of range", a.Lease, a.Echo)
+	}
+	return nil
+}
+
 // Refusal spreads a request that made targets crash to all VMs: one that is
 // suspect, or one that is refused.
 type Refusal struct {
@@ -224,14 +239,14 @@
 	// the lease from the moment it receives it, which is later.
 	reply.Clock = s.clock.Now()
 	reply.BootID = s.bootID
+	if err := args.check(reply.Clock); err != nil {
+		return err // before anything takes effect
+	}
 	if !s.acceptTerm(args) {
 		s.fill(reply)
 		return nil
 	}
 	if args.Map != nil {
-		if args.Map.Term != args.Term {
-			return errors.Errorf("map of term %d was sent in term %d", args.Map.Term, args.Term)
-		}
 		s.install(args.Map)
 	}
 	for _, q := range s.sinks {
@@ -281,7 +296,7 @@
 	s.checkJump()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if args.Echo <= s.minEcho || args.BootID != s.bootID || s.current == nil ||
+	if args.Echo <= s.minEcho || args.Echo > s.clock.Now() || args.BootID != s.bootID || s.current == nil ||
 		s.current.Term != args.Term || s.current.Sequence != args.Sequence {
 		return
 	}
