--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -173,30 +173,21 @@
 		return BeginReply{Decision: Moved}
 	}
 	if keeper == l.vm {
-		return l.begin(ctx, args)
+		reply := l.begin(ctx, args)
+		reply.Keeper = keeper
+		return reply
 	}
 	var reply BeginReply
 	if err := l.peers.Call(ctx, address, "Ledger.Begin", &args, &reply); err != nil {
 		// The keeper may have recorded the intent; nothing was sent, so the
 		// attempt is over and provably did not run.
-		l.Finish(FinishArgs{Group: args.Group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun})
+		l.Finish(FinishArgs{Group: args.Group, Key: args.Key, Attempt: args.Attempt, Outcome: OutcomeNotRun, Keeper: keeper})
 		return BeginReply{Decision: Moved}
 	}
+	reply.Keeper = keeper
 	return reply
 }
 
-func (l *Ledger) keeperOf(group string) (vm, address string, ok bool) {
-	m := l.maps.Current()
-	if m == nil {
-		return "", "", false
-	}
-	g, ok := m.Groups[group]
-	if !ok || !g.Active {
-		return "", "", false
-	}
-	return g.Dispatcher, m.Peers[g.Dispatcher], true
-}
-
 // begin runs on the keeper.
 func (l *Ledger) begin(ctx context.Context, args BeginArgs) BeginReply {
 	ctx, cancel := context.WithTimeout(ctx, args.Remaining)
@@ -333,13 +324,22 @@
 // Finish ends an attempt, here or at the VM that keeps the group. Towards
 // another VM it does not wait.
 func (l *Ledger) Finish(args FinishArgs) {
-	if keeper, _, ok := l.keeperOf(args.Group); ok && keeper == l.vm {
+	if keeper, _ := l.keeperFor(args); keeper == l.vm {
 		l.finish(args)
 		return
 	}
 	go l.finishRemote(args)
 }
 
+// keeperFor returns the keeper that an attempt's end goes to. While the group
+// is handed over, that is the one which let the attempt begin.
+func (l *Ledger) keeperFor(args FinishArgs) (vm, address string) {
+	if keeper, address, ok := l.keeperOf(args.Group); ok {
+		return keeper, address
+	}
+	return args.Keeper, l.addressOf(args.Keeper)
+}
+
 // finishRemote repeats until the keeper has the outcome: without it a repeat of
 // the write is answered unknown. The keeper may change or its connection go
 // silent meanwhile; an attempt is ended once, however often it is told.
@@ -347,12 +347,12 @@
 	ctx, cancel := context.WithTimeout(l.ctx, finishTime)
 	defer cancel()
 	for ctx.Err() == nil {
-		keeper, address, ok := l.keeperOf(args.Group)
-		if ok && keeper == l.vm {
+		keeper, address := l.keeperFor(args)
+		if keeper == l.vm {
 			l.finish(args)
 			return
 		}
-		if ok && l.callFinish(ctx, address, args) == nil {
+		if address != "" && l.callFinish(ctx, address, args) == nil {
 			return
 		}
 		select {
@@ -403,7 +403,7 @@
 	if open {
 		b.settle(args.Key)
 	}
-	if b.keeper && len(b.copies) > 0 {
+	if (b.keeper || b.handing) && len(b.copies) > 0 {
 		b.pending++
 		go l.copyOutcome(b, b.copies, copied)
 	}
