--- a/standin/measure/figure.go
+++ b/standin/measure/figure.go
@@ -74,7 +74,7 @@
 	nameRoundRobin = "round robin"
 	nameAdaptive   = "eight limits"
 	nameOracle     = "oracle"
-	nameDirect     = "direct"
+	nameDirect     = "without"
 )
 
 var columns = []string{nameDirect, nameStatic, nameRoundRobin, nameAdaptive, nameOracle}
