--- a/standin/cluster/process.go
+++ b/standin/cluster/process.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// Start runs the process again after its end.
+func (p *Process) Start() error {
+	_, err := p.start()
+	return err
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	p.mu.Lock()
