--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -111,3 +112,25 @@
 	require.True(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 	require.NoError(t, roundTrip(t, dial(t, p), long))
 }
+
+// Guards against a link whose delay is left out, or asked anew for each chunk:
+// one answer must hold for a connection in both directions.
+func TestLinkDelaysByClient(t *testing.T) {
+	const delay = 30 * time.Millisecond
+	p := echo(t)
+	var asked atomic.Int32
+	p.SetLink(Link{Delay: func(net.Addr) time.Duration { asked.Add(1); return delay }})
+	c, err := net.Dial("tcp", p.Addr())
+	require.NoError(t, err)
+	defer c.Close()
+	start := time.Now()
+	_, err = c.Write([]byte("ping"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(c, make([]byte, 4))
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, time.Since(start), 2*delay)
+	require.EqualValues(t, 1, asked.Load())
+	up, down := p.Bytes()
+	require.EqualValues(t, 4, up)
+	require.EqualValues(t, 4, down)
+}
