Warm the pools at a low load, and give each change its own keys

Cause: at a load average of 20 the cold pools of flagworks fell over under the first load, and reads of one key that were in flight at two losses were refused for 60 s by the quarantine in all later changes (15 of 1134 in each). Change: warm up at 15 % of the slots; keys differ for each change.

--- a/standin/measure/cold.go
+++ b/standin/measure/cold.go
@@ -11,6 +11,7 @@
 
 const (
 	coldBefore = 1000 * time.Millisecond // of load before the restart
+	warmShare  = 0.15                    // is below what cold targets can serve
 	coldAfter  = 3 * time.Second
 	// A data centre bears its full load again when its targets serve this
 	// share of what they served before, over one window.
@@ -85,7 +86,7 @@
 			}
 		}
 	}
-	_, err := s.poolLoads(st, st.router(), time.Second)
+	_, err := s.poolLoads(st, st.router(), warmShare, time.Second)
 	return err
 }
 
@@ -108,7 +109,7 @@
 		}
 		return each.Wait()
 	})
-	runs, err := s.poolLoads(st, w, coldBefore+coldAfter)
+	runs, err := s.poolLoads(st, w, tailShare, coldBefore+coldAfter)
 	if err != nil {
 		return coldResult{}, err
 	}
--- a/standin/measure/loss.go
+++ b/standin/measure/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/mangogate/mangogate/core/control"
@@ -80,6 +81,9 @@
 		after = planAfter
 	}
 	cfg := s.serviceLoad(st.router(), st.keyed, lossShare, lossBefore+after)
+	// Each change has keys of its own: a read that is in flight at two losses is
+	// refused for 60 s as one that crashes targets.
+	cfg.KeyPrefix = strings.ReplaceAll(c.name, " ", "-") + "-"
 	cfg.Keys, cfg.Repeats, cfg.RepeatReads, cfg.Deadline = lossKeys, 3, true, 5*time.Second
 	type end struct {
 		undo func() error
--- a/standin/measure/tail.go
+++ b/standin/measure/tail.go
@@ -18,6 +18,9 @@
 // tails measures the pools with none, one and three targets slowed.
 func (s *session) tails(st *site) error {
 	for _, slowed := range []int{0, 1, 3} {
+		if err := s.warmPools(st); err != nil {
+			return err
+		}
 		if err := s.slow(st, slowed, slowFactor); err != nil {
 			return err
 		}
@@ -50,7 +53,7 @@
 	var last []run
 	s.busy.take()
 	err := s.eachWay(st, st.pools, func(w way) error {
-		runs, err := s.poolLoads(st, w, s.span(tailDuration))
+		runs, err := s.poolLoads(st, w, tailShare, s.span(tailDuration))
 		if err != nil {
 			return err
 		}
@@ -116,10 +119,10 @@
 }
 
 // poolLoads loads all pools through their way for a time after the warm-up.
-func (s *session) poolLoads(st *site, w way, d time.Duration) ([]run, error) {
+func (s *session) poolLoads(st *site, w way, share float64, d time.Duration) ([]run, error) {
 	var cfgs []loadgen.Config
 	for _, p := range st.pools {
-		cfg := s.serviceLoad(w, p, tailShare, tailWarm+d)
+		cfg := s.serviceLoad(w, p, share, tailWarm+d)
 		cfgs = append(cfgs, cfg)
 	}
 	return load(s.ctx, cfgs...)
