--- a/cmd/integration/config_test.go
+++ b/cmd/integration/config_test.go
@@ -140,10 +140,10 @@
 		}
 		return nil
 	}))
-	errors := counter(t, c, c.VMs[0], "control.replica.read-errors")
+	errors := counter(t, c.VMs[0], "control.replica.read-errors")
 	require.NoError(t, c.PlatformFaults(t.Context(), map[string]any{"down": true}))
 	require.NoError(t, cluster.Wait(readyWithin, func() error {
-		if counter(t, c, c.VMs[0], "control.replica.read-errors") == errors {
+		if counter(t, c.VMs[0], "control.replica.read-errors") == errors {
 			return fmt.Errorf("the VM has not noticed")
 		}
 		return nil
@@ -190,14 +190,14 @@
 			require.Equal(t, http.StatusUnauthorized, resp.StatusCode, "%s with %q", path, token)
 		}
 	}
-	refused := counter(t, c, c.VMs[0], "peer.connections_refused")
+	refused := counter(t, c.VMs[0], "peer.connections_refused")
 	conn, err := net.Dial("tcp", c.VMs[0].Peers)
 	require.NoError(t, err)
 	defer conn.Close()
 	_, err = conn.Write(make([]byte, 64)) // a nonce and a MAC without the key
 	require.NoError(t, err)
 	require.NoError(t, cluster.Wait(5*time.Second, func() error {
-		if counter(t, c, c.VMs[0], "peer.connections_refused") > refused {
+		if counter(t, c.VMs[0], "peer.connections_refused") > refused {
 			return nil
 		}
 		return fmt.Errorf("the connection was not refused")
--- a/node/mapstore/mapstore_test.go
+++ b/node/mapstore/mapstore_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const lease = time.Hour // so that the lease does not end while the test runs
+const lease = time.Minute // does not end while the test runs
 
 func install(t *testing.T, s *Store, args InstallArgs) InstallReply {
 	t.Helper()
