--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 		MANGOGATE_SEED=$$seed go test ./cmd/integration -count=1 || exit 1; \
 	done
 
-capacity: ## Measures the figures of docs/CAPACITY.md into out/capacity.json, in about 6 minutes.
+capacity: ## Measures the figures of docs/CAPACITY.md into out/capacity.json, in about 7 minutes.
 	go run ./standin/cmd/capacity
 
 measure: ## Measures both deployments with stand-ins; ARGS="--only 1 --quick" runs parts.
