Tell attempts of one request at two targets apart

The router sends a request with the same id to the next owner after it has moved; the time noted for that attempt was taken for that of the caught one. A trace of the gate and of arrivals showed a request that ran from before the pause with an arrival 1.7 s later, equal to its start at the next owner. Ruled out: a delay in the proxy (no chunk was held for 20 ms or more). Change: arrivals are noted by target and request id, the latest counts.

--- a/cmd/integration/server_test.go
+++ b/cmd/integration/server_test.go
@@ -36,7 +36,7 @@
 		for _, e := range rest {
 			if e.Target == pause.Target && e.StartUS < pause.UntilUS+resumed && e.EndUS >= pause.UntilUS {
 				t.Logf("%s fence %d at %s arrived %d, ran %d to %d; paused %d to %d", e.Key, e.Fence, e.Target,
-					c.Arrivals()[e.RequestID], e.StartUS, e.EndUS, pause.FromUS, pause.UntilUS)
+					c.Arrivals()[history.Attempt{Target: e.Target, RequestID: e.RequestID}], e.StartUS, e.EndUS, pause.FromUS, pause.UntilUS)
 			}
 		}
 		require.Empty(t, history.Owners(rest), "two owners of a key")
@@ -129,7 +129,7 @@
 		}
 		return nil
 	}))
-	require.Zero(t, held, "a late renewal gave the server its shards again")
+	require.Zero(t, held, "the server held shards after the next owner had begun")
 	require.Empty(t, events(t, c, "server.returned", lost, time.Now()))
 	resp, body := request(t, c.VMs[0], http.MethodGet, "/status/status-key", nil)
 	require.Equal(t, http.StatusOK, resp.StatusCode, body)
--- a/standin/cluster/arrivals.go
+++ b/standin/cluster/arrivals.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangogate/mangogate/standin/history"
 	"github.com/mangogate/mangogate/standin/target"
 	"github.com/pkg/errors"
 )
@@ -15,14 +16,14 @@
 // arrivals notes when requests were delivered to the targets' sockets.
 type arrivals struct {
 	mu sync.Mutex
-	at map[string]int64 // by request id, microseconds since 1970
+	at map[history.Attempt]int64 // microseconds since 1970
 }
 
 var requestIDHeader = []byte("\r\n" + target.HeaderRequestID + ": ")
 
-// note looks for the id of a request that begins in the data. A request whose
+// note looks for the id of a request to a target that begins in the data. A request whose
 // header is split is not noted, so that a check treats it as sent late.
-func (a *arrivals) note(data []byte) {
+func (a *arrivals) note(target string, data []byte) {
 	_, rest, found := bytes.Cut(data, requestIDHeader)
 	if !found {
 		return
@@ -33,12 +34,12 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.at[string(id)] = time.Now().UnixMicro()
+	a.at[history.Attempt{Target: target, RequestID: string(id)}] = time.Now().UnixMicro()
 }
 
-// Arrivals returns when requests reached the targets, by request id, in
-// microseconds since 1970. It needs Config.Proxied.
-func (c *Cluster) Arrivals() map[string]int64 {
+// Arrivals returns when requests last reached the targets, in microseconds
+// since 1970. It needs Config.Proxied.
+func (c *Cluster) Arrivals() map[history.Attempt]int64 {
 	c.arrivals.mu.Lock()
 	defer c.arrivals.mu.Unlock()
 	return maps.Clone(c.arrivals.at)
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -15,6 +15,7 @@
 
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/standin/faultproxy"
+	"github.com/mangogate/mangogate/standin/history"
 	"github.com/mangogate/mangogate/standin/target"
 	"github.com/pkg/errors"
 )
@@ -93,7 +94,7 @@
 
 // Start starts the platform, the targets and the VMs, and publishes the document.
 func Start(ctx context.Context, cfg Config) (*Cluster, error) {
-	c := &Cluster{cfg: cfg, token: secretBytes, arrivals: arrivals{at: map[string]int64{}}}
+	c := &Cluster{cfg: cfg, token: secretBytes, arrivals: arrivals{at: map[history.Attempt]int64{}}}
 	for _, step := range []func(context.Context) error{c.startPlatform, c.startTargets, c.startVMs, c.publish} {
 		if err := step(ctx); err != nil {
 			c.Close()
@@ -207,7 +208,7 @@
 		return err
 	}
 	if c.cfg.Proxied {
-		if t.Proxy, err = c.proxy(address, c.arrivals.note); err != nil {
+		if t.Proxy, err = c.proxy(address, func(data []byte) { c.arrivals.note(name, data) }); err != nil {
 			return err
 		}
 		t.Address = t.Proxy.Addr()
--- a/standin/history/waits.go
+++ b/standin/history/waits.go
@@ -45,12 +45,16 @@
 	FromUS, UntilUS int64
 }
 
+// Attempt is a request at a target. A router may send a request with the same
+// id to the next owner.
+type Attempt struct{ Target, RequestID string }
+
 // WithoutCaught separates the executions that only a target's own check of
 // fences can prevent: requests that had reached the target before the next
 // owner of the key began, and that a pause of the target caught there. sent
-// holds the time at which a request reached the target, by request id; a
-// request without one is never taken out.
-func WithoutCaught(executions []target.Execution, pauses []Pause, sent map[string]int64) (rest, caught []target.Execution) {
+// holds the time at which each attempt last reached its target; an attempt
+// without one is never taken out.
+func WithoutCaught(executions []target.Execution, pauses []Pause, sent map[Attempt]int64) (rest, caught []target.Execution) {
 	for _, e := range executions {
 		if isCaught(e, executions, pauses, sent) {
 			caught = append(caught, e)
@@ -61,8 +65,8 @@
 	return rest, caught
 }
 
-func isCaught(e target.Execution, all []target.Execution, pauses []Pause, sent map[string]int64) bool {
-	at, known := sent[e.RequestID]
+func isCaught(e target.Execution, all []target.Execution, pauses []Pause, sent map[Attempt]int64) bool {
+	at, known := sent[Attempt{e.Target, e.RequestID}]
 	if !known || e.Shard < 0 {
 		return false
 	}
--- a/standin/history/waits_test.go
+++ b/standin/history/waits_test.go
@@ -18,14 +18,15 @@
 	for _, tc := range []struct {
 		name   string
 		pause  Pause
-		sent   map[string]int64
+		sent   map[Attempt]int64
 		caught int
 	}{
-		{"sent before the next owner", pause, map[string]int64{"r": 20}, 1},
-		{"sent after the next owner", pause, map[string]int64{"r": 120}, 0},
-		{"sent after the pause", pause, map[string]int64{"r": 190}, 0},
+		{"sent before the next owner", pause, map[Attempt]int64{{"a", "r"}: 20}, 1},
+		{"sent after the next owner", pause, map[Attempt]int64{{"a", "r"}: 120}, 0},
+		{"sent after the pause", pause, map[Attempt]int64{{"a", "r"}: 190}, 0},
 		{"no send time", pause, nil, 0},
-		{"another target paused", Pause{Target: "b", FromUS: 10, UntilUS: 150}, map[string]int64{"r": 20}, 0},
+		{"sent to another target", pause, map[Attempt]int64{{"b", "r"}: 20}, 0},
+		{"another target paused", Pause{Target: "b", FromUS: 10, UntilUS: 150}, map[Attempt]int64{{"a", "r"}: 20}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			rest, caught := WithoutCaught(all, []Pause{tc.pause}, tc.sent)
