Require service after the old leases have ended

Cause: a check that each key was served since a failure could be met under the leases of before, so that a manager cut off from targets passed too early. Change: the tests wait for the next manager, then for each key once more, and bound the longest gap of every key over the whole failure and its repair.

--- a/cmd/integration/manager_test.go
+++ b/cmd/integration/manager_test.go
@@ -22,7 +22,7 @@
 		{"frozen", freeze, thaw, true},
 		{"cut off from peers", func(_ *testing.T, v *cluster.VM) { c.IsolateFromPeers(v) }, heal(c), true},
 		{"cut off from the log", func(_ *testing.T, v *cluster.VM) { c.IsolateFromLog(v) }, heal(c), false},
-		{"cut off from targets", func(_ *testing.T, v *cluster.VM) { c.IsolateFromTargets(v) }, heal(c), false},
+		{"cut off from targets", func(_ *testing.T, v *cluster.VM) { c.IsolateFromTargets(v) }, heal(c), true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			old := actingManager(t, c)
@@ -34,10 +34,12 @@
 				actingManager(t, c, old)
 			}
 			all.waitServedSince(at)
+			all.waitServedSince(time.Now()) // not only under the leases of before
 			repaired := time.Now()
 			tc.repair(t, old)
 			all.waitServedSince(repaired)
 			require.NoError(t, c.WaitReady(t.Context(), recovery))
+			all.requireServedAgain()
 			all.requireSafe(c)
 		})
 	}
--- a/cmd/integration/network_test.go
+++ b/cmd/integration/network_test.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// requireServedAgain ends the loads and checks that no key was unserved for
+// longer than a loss may take.
+func (all loads) requireServedAgain() {
+	for _, l := range all.balanced {
+		l.t.Helper()
+		requireServedAgain(l.t, l)
+	}
+}
+
 // stop ends the loads and waits for the answers.
 func (all loads) stop() {
 	for _, l := range slices.Concat(all.balanced, all.others) {
--- a/cmd/integration/partition_test.go
+++ b/cmd/integration/partition_test.go
@@ -43,6 +43,7 @@
 	c.Partition(few, many)
 	actingManager(t, c, few...)
 	all.waitServedSince(cut)
+	all.waitServedSince(time.Now()) // not only under the leases of before
 	healed := time.Now()
 	c.Heal()
 	all.waitServedSince(healed)
--- a/cmd/integration/server_test.go
+++ b/cmd/integration/server_test.go
@@ -114,7 +114,7 @@
 	t.Cleanup(c.Heal)
 	waitLost(t, c, target, at)
 	lost := time.Now()
-	all.waitServedSince(at)
+	all.waitServedSince(lost)
 	// Each grant is late by the delay; none may give the server a shard again
 	// until the delay has ended.
 	held := 0
