--- a/cmd/integration/server_test.go
+++ b/cmd/integration/server_test.go
@@ -114,6 +114,9 @@
 	t.Cleanup(c.Heal)
 	waitLost(t, c, target, at)
 	lost := time.Now()
+	reply, err := c.Grants(t.Context(), target)
+	require.NoError(t, err)
+	require.Empty(t, reply.Holds, "the server was counted as lost before its lease had ended")
 	all.waitServedSince(lost)
 	// Each grant is late by the delay; none may give the server a shard again
 	// until the delay has ended.
