--- a/standin/measure/loss.go
+++ b/standin/measure/loss.go
@@ -8,6 +8,7 @@
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/node/admin"
 	"github.com/mangogate/mangogate/standin/cluster"
+	"github.com/mangogate/mangogate/standin/loadgen"
 	"github.com/pkg/errors"
 )
 
@@ -51,6 +52,7 @@
 func (s *session) lossFigures(st *site, c change, r run, steadyGap float64) {
 	gap, failed, key := gapOf(r)
 	note := fmt.Sprintf("%s; %d of %d not served", key, failed, r.Requests)
+	note += reasons(r)
 	if late := s.busy.take(); late > busyLimitMS {
 		note += fmt.Sprintf("; busy %.1f ms", late)
 	}
@@ -66,6 +68,17 @@
 	s.report.add(Figure{Section: 3, Deployment: st.name, Measure: "p99", Case: c.name, Value: r.Latency.P99, Unit: "ms"})
 }
 
+// reasons lists how requests ended that were not served.
+func reasons(r run) string {
+	text := ""
+	for _, o := range r.Outcomes {
+		if o.Outcome != loadgen.OutcomeRun {
+			text += fmt.Sprintf("; %d %s %s", o.Count, o.Outcome, o.Reason)
+		}
+	}
+	return text
+}
+
 func gapOf(r run) (ms float64, failed int, key string) {
 	failed, _ = unserved(r)
 	if len(r.KeyGaps) > 0 {
