--- a/standin/measure/cold.go
+++ b/standin/measure/cold.go
@@ -167,6 +167,9 @@
 		return n
 	}
 	wanted := fullShare * float64(count(before, restarted)) * fullWindow.Seconds() / coldBefore.Seconds()
+	if wanted == 0 {
+		return coldAfter, false // they had fallen over before the restart
+	}
 	const step = 50 * time.Millisecond
 	for after := fullWindow; after <= coldAfter; after += step {
 		if float64(count(restarted.Add(after-fullWindow), restarted.Add(after))) >= wanted {
