--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -77,8 +77,8 @@
 }
 
 type counters struct {
-	sent, retried, notRun, unknown, moved, gated metrics.Counter
-	serviceTime, queueTime                       metrics.Timer
+	sent, retried, notRun, unknown, moved, gated, cancelled metrics.Counter
+	serviceTime, queueTime                                  metrics.Timer
 }
 
 // New returns the module for a VM.
@@ -97,7 +97,7 @@
 		unhealthy:  map[string]bool{}, draining: map[string]bool{}, heard: map[string]time.Duration{}, leavingSince: map[string]time.Duration{},
 		counters: counters{
 			sent: counter("sent"), retried: counter("retried"), notRun: counter("not_run"),
-			unknown: counter("unknown"), moved: counter("moved"), gated: counter("gated"),
+			unknown: counter("unknown"), moved: counter("moved"), gated: counter("gated"), cancelled: counter("cancelled"),
 			serviceTime: metrics.GetOrRegisterTimer("dispatch.service_time", registry),
 			queueTime:   metrics.GetOrRegisterTimer("dispatch.queue_time", registry),
 		},
--- a/node/dispatch/run.go
+++ b/node/dispatch/run.go
@@ -232,7 +232,7 @@
 		s.loads.add(control.ShardKey{Service: req.Service, Shard: req.Shard})
 	}
 	answer, err := s.targets.Do(waiting, targets.Request{
-		ID: fmt.Sprintf("%s-%d", req.ID, p.attempts), Target: target.Name, Address: target.Address,
+		ID: attemptID(req, p), Target: target.Name, Address: target.Address,
 		Connections: connectionShare(target), Method: req.Method, URI: req.URI, Header: req.Header, Body: req.Body, Read: req.Read,
 		IdempotencyKey: req.IdempotencyKey, Shard: req.Shard, Fence: route.Fence, Epoch: entry.Epoch,
 		Deadline: s.attemptTime(req, p), Gate: s.gate(req, entry, route),
@@ -292,6 +292,9 @@
 	if send.Written && !send.Timeout() && ctx.Err() == nil {
 		s.suspectCrash(g, t)
 	}
+	if req.Read && send.Written && (send.Timeout() || ctx.Err() != nil) {
+		s.cancelAt(t, attemptID(req, p))
+	}
 	g.finish(place.id, failedResult(ctx, send), took)
 	p.avoid = t.Name
 	if !send.Written && ctx.Err() == nil {
@@ -300,6 +303,20 @@
 	return s.classify(ctx, req, p, send)
 }
 
+// attemptID identifies an attempt towards targets.
+func attemptID(req *Request, p *progress) string { return fmt.Sprintf("%s-%d", req.ID, p.attempts) }
+
+// cancelAt asks a target to stop a read that was given up, so that it does not
+// hold one of the target's slots beside the next request.
+func (s *Service) cancelAt(t inventory.Target, id string) {
+	s.counters.cancelled.Inc(1)
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, loadTimeout)
+		defer cancel()
+		_ = s.targets.Cancel(ctx, t.Name, t.Address, id) // the request's deadline ends it otherwise
+	}()
+}
+
 // classify decides whether a failed attempt is repeated, and its result if not.
 func (s *Service) classify(ctx context.Context, req *Request, p *progress, send *targets.SendError) (*Result, bool) {
 	failed := retry.Attempt{
