Let the test of a draining target see requests that wait for its return

Cause: in a trial without the hand-over the test passed, because the callers' deadline of 5 s was longer than the target drained.

Change: a deadline of 2 s. The trial fails now: 503 target-refused.

--- a/cmd/integration/drain_test.go
+++ b/cmd/integration/drain_test.go
@@ -140,7 +140,9 @@
 // Guards against work for a target that says itself that it is leaving.
 func TestTargetThatDrainsItself(t *testing.T) {
 	c := deployment(t, func(cfg *cluster.Config) { cfg.VMs = 3 })
-	loads := []*load{startLoad(t, c, "status", nil), startLoad(t, c, "bookings", nil)}
+	// Less than the target drains for, so that waiting for its end does not help.
+	impatient := func(cfg *loadgen.Config) { cfg.Deadline = 2 * time.Second }
+	loads := []*load{startLoad(t, c, "status", impatient), startLoad(t, c, "bookings", impatient)}
 	loads[0].waitServed(300)
 	leaving := map[string]bool{"status-0": true, "bookings-0": true}
 	for _, target := range c.Targets {
