Let a manager that fell behind the log hold later terms

Cause: found by reading. A manager that cannot read the log gave its term up by Resign, after which a member never campaigns again; each VM that had once been cut off from the log was lost as a manager until its restart. An unknown command of mangogatectl ended with exit code 3, which means that another change was accepted first.

Ruled out: letting Resign be undone; a VM that is stopping must not campaign.

Both binaries share usage.Strict: unknown flags and commands end with exit code 2. Modules look others up through kernel.Resolve, and mangogatectl reads its arguments in one place.

The resignation was not provoked with processes.

--- a/cmd/mangogate/demo.go
+++ b/cmd/mangogate/demo.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/standin/loadgen"
 	"github.com/mangogate/mangogate/standin/target"
@@ -58,11 +59,11 @@
 func demo(ctx context.Context, c *cli.Command) error {
 	length := c.Duration("for")
 	if length < minDemo {
-		return cli.Exit(fmt.Sprintf("--for must be at least %v: the demo loses a server and takes a data centre out and back", minDemo), exitUsage)
+		return cli.Exit(fmt.Sprintf("--for must be at least %v: the demo loses a server and takes a data centre out and back", minDemo), usage.ExitCode)
 	}
 	level := hclog.LevelFromString(c.String("log-level"))
 	if level == hclog.NoLevel {
-		return cli.Exit(fmt.Sprintf("--log-level %q is not trace, debug, info, warn or error", c.String("log-level")), exitUsage)
+		return cli.Exit(fmt.Sprintf("--log-level %q is not trace, debug, info, warn or error", c.String("log-level")), usage.ExitCode)
 	}
 	dir, err := os.MkdirTemp("", "mangogate-demo-")
 	if err != nil {
--- a/cmd/mangogate/main.go
+++ b/cmd/mangogate/main.go
@@ -6,16 +6,13 @@
 	"fmt"
 	"os"
 
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/core/jsonc"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2 // settings or arguments are wrong; nothing was started
-)
+const exitFailure = 1
 
 func main() {
 	app := &cli.Command{
@@ -23,7 +20,7 @@
 		Usage:    "route requests to the servers that own their keys",
 		Commands: []*cli.Command{serveCommand(), demoCommand()},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
+	if err := usage.Strict(app).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
 	}
@@ -34,7 +31,7 @@
 	var coder cli.ExitCoder
 	switch {
 	case errors.As(err, &problems):
-		return exitUsage
+		return usage.ExitCode
 	case errors.As(err, &coder):
 		return coder.ExitCode()
 	}
--- a/cmd/mangogate/serve.go
+++ b/cmd/mangogate/serve.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/node/settings"
 	"github.com/mangogate/mangogate/node/vm"
 	"github.com/urfave/cli/v3"
@@ -27,12 +28,12 @@
 func serve(ctx context.Context, path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
-		return cli.Exit(err.Error(), exitUsage)
+		return cli.Exit(err.Error(), usage.ExitCode)
 	}
 	logger := hclog.New(&hclog.LoggerOptions{Name: s.VM, Level: hclog.LevelFromString(s.LogLevel), Output: os.Stderr})
 	node, err := vm.New(s, logger)
 	if err != nil {
-		return cli.Exit(err.Error(), exitUsage)
+		return cli.Exit(err.Error(), usage.ExitCode)
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/mangogatectl/change.go
+++ b/cmd/mangogatectl/change.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/mangogate/mangogate/core/inventory"
 	"github.com/mangogate/mangogate/node/admin"
@@ -21,28 +22,27 @@
 	return &cli.DurationFlag{Name: "wait", Value: 10 * time.Second, Usage: "how long to wait until the change is in force on every live VM"}
 }
 
-// load reads and validates an inventory file; problems end the command with exit 2.
-func load(path string) (*inventory.Document, error) {
+// load reads and validates the inventory file that is the only argument of a
+// command; problems end the command with exit 2.
+func load(c *cli.Command) (path string, doc *inventory.Document, err error) {
+	if path, err = argument(c, "file"); err != nil {
+		return "", nil, err
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, cli.Exit(err.Error(), exitUsage)
+		return path, nil, cli.Exit(err.Error(), usage.ExitCode)
 	}
-	doc, err := inventory.Parse(path, text)
-	if err != nil {
-		return nil, cli.Exit(err.Error(), exitUsage)
+	if doc, err = inventory.Parse(path, text); err != nil {
+		return path, nil, cli.Exit(err.Error(), usage.ExitCode)
 	}
-	return doc, nil
+	return path, doc, nil
 }
 
 func validateCommand() *cli.Command {
 	return &cli.Command{
 		Name: "validate", Usage: "check an inventory file", ArgsUsage: "FILE",
 		Action: func(_ context.Context, c *cli.Command) error {
-			path, err := argument(c, "file")
-			if err != nil {
-				return err
-			}
-			doc, err := load(path)
+			path, doc, err := load(c)
 			if err != nil {
 				return err
 			}
@@ -63,11 +63,7 @@
 }
 
 func apply(ctx context.Context, c *cli.Command) error {
-	path, err := argument(c, "file")
-	if err != nil {
-		return err
-	}
-	doc, err := load(path)
+	_, doc, err := load(c)
 	if err != nil {
 		return err
 	}
@@ -95,11 +91,7 @@
 		return &cli.Command{
 			Name: direction, Usage: usage, ArgsUsage: "NAME", Flags: []cli.Flag{waitFlag()},
 			Action: func(ctx context.Context, c *cli.Command) error {
-				target, err := argument(c, "name")
-				if err != nil {
-					return err
-				}
-				cl, err := newClient(c)
+				target, cl, err := argumentAndClient(c, "name")
 				if err != nil {
 					return err
 				}
@@ -128,7 +120,7 @@
 		return cli.Exit(fmt.Sprintf("not applied: version %d by %s was accepted first; look at it with `mangogatectl diff` and apply again",
 			reply.Winner, reply.By), exitLost)
 	case admin.ResultInvalid:
-		return cli.Exit("not applied: "+reply.Detail, exitUsage)
+		return cli.Exit("not applied: "+reply.Detail, usage.ExitCode)
 	case admin.ResultNoChange:
 		fmt.Fprintln(out, "no change: this is in force already")
 	default:
--- a/cmd/mangogatectl/client.go
+++ b/cmd/mangogatectl/client.go
@@ -10,6 +10,7 @@
 	"os/user"
 	"time"
 
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/node/admin"
 	"github.com/mangogate/mangogate/node/settings"
 	"github.com/pkg/errors"
@@ -29,19 +30,19 @@
 func newClient(c *cli.Command) (*client, error) {
 	vms := c.StringSlice("vm")
 	if len(vms) == 0 {
-		return nil, cli.Exit("--vm or MANGOGATE_VM is needed: the operators' address of a VM", exitUsage)
+		return nil, cli.Exit("--vm or MANGOGATE_VM is needed: the operators' address of a VM", usage.ExitCode)
 	}
 	if c.String("token-file") == "" {
-		return nil, cli.Exit("--token-file or MANGOGATE_TOKEN_FILE is needed", exitUsage)
+		return nil, cli.Exit("--token-file or MANGOGATE_TOKEN_FILE is needed", usage.ExitCode)
 	}
 	token, err := settings.ReadSecret(c.String("token-file"))
 	if err != nil {
-		return nil, cli.Exit(err.Error(), exitUsage)
+		return nil, cli.Exit(err.Error(), usage.ExitCode)
 	}
 	files := settings.TLS{CAFile: c.String("ca-file"), CertFile: c.String("cert-file"), KeyFile: c.String("key-file")}
 	config, err := files.ClientConfig()
 	if err != nil {
-		return nil, cli.Exit(err.Error(), exitUsage)
+		return nil, cli.Exit(err.Error(), usage.ExitCode)
 	}
 	cl := &client{vms: vms, token: string(token), scheme: "http", http: &http.Client{Timeout: callTimeout}}
 	if config != nil {
--- a/cmd/mangogatectl/main.go
+++ b/cmd/mangogatectl/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/mangogate/mangogate/cmd/internal/usage"
 	"github.com/mangogate/mangogate/core/control"
 	"github.com/urfave/cli/v3"
 )
@@ -13,7 +14,6 @@
 // Exit codes.
 const (
 	exitFailure  = 1
-	exitUsage    = 2 // arguments or files are wrong; nothing was changed
 	exitLost     = 3 // another change was accepted first
 	exitNotReady = 4 // accepted, but not in force on every VM in time
 )
@@ -37,17 +37,27 @@
 			drainCommand("target", control.ScopeTarget, "a target"),
 		},
 	}
-	if err := app.Run(context.Background(), os.Args); err != nil {
+	if err := usage.Strict(app).Run(context.Background(), os.Args); err != nil {
 		// cli.Exit errors have ended the process already.
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
 	}
 }
 
+// argumentAndClient returns the only argument of a command and the client.
+func argumentAndClient(c *cli.Command, what string) (string, *client, error) {
+	text, err := argument(c, what)
+	if err != nil {
+		return "", nil, err
+	}
+	cl, err := newClient(c)
+	return text, cl, err
+}
+
 // argument returns the only argument of a command.
 func argument(c *cli.Command, what string) (string, error) {
 	if c.Args().Len() != 1 {
-		return "", cli.Exit(fmt.Sprintf("%s: exactly one %s is needed, got %d", c.FullName(), what, c.Args().Len()), exitUsage)
+		return "", cli.Exit(fmt.Sprintf("%s: exactly one %s is needed, got %d", c.FullName(), what, c.Args().Len()), usage.ExitCode)
 	}
 	return c.Args().First(), nil
 }
--- a/cmd/mangogatectl/show.go
+++ b/cmd/mangogatectl/show.go
@@ -69,11 +69,7 @@
 		Name: "owner", Usage: "show which target owns a key", ArgsUsage: "KEY",
 		Flags: []cli.Flag{jsonFlag(), &cli.StringFlag{Name: "service", Usage: "`NAME` of the service; by default all with key ownership"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			key, err := argument(c, "key")
-			if err != nil {
-				return err
-			}
-			cl, err := newClient(c)
+			key, cl, err := argumentAndClient(c, "key")
 			if err != nil {
 				return err
 			}
@@ -197,11 +193,7 @@
 	return &cli.Command{
 		Name: "diff", Usage: "show what applying a file would change", ArgsUsage: "FILE",
 		Action: func(ctx context.Context, c *cli.Command) error {
-			path, err := argument(c, "file")
-			if err != nil {
-				return err
-			}
-			doc, err := load(path)
+			_, doc, err := load(c)
 			if err != nil {
 				return err
 			}
--- a/node/admin/admin.go
+++ b/node/admin/admin.go
@@ -72,19 +72,16 @@
 
 // Provision looks up the other modules and registers the calls between VMs.
 func (a *Admin) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	var server *peer.Server
+	err := k.Resolve(
+		kernel.Into(&server, peer.ServerName),
+		kernel.Into(&a.replica, replica.Name),
+		kernel.Into(&a.maps, mapstore.Name),
+		kernel.Into(&a.peers, peer.ClientName),
+	)
 	if err != nil {
 		return err
 	}
-	if a.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name); err != nil {
-		return err
-	}
-	if a.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
-		return err
-	}
-	if a.peers, err = kernel.Lookup[*peer.Client](k, peer.ClientName); err != nil {
-		return err
-	}
 	a.maps.Attach(a)
 	return server.Register("Admin", &receiver{a})
 }
--- a/node/callers/callers.go
+++ b/node/callers/callers.go
@@ -69,12 +69,8 @@
 func (l *Listener) Name() string { return Name }
 
 // Provision looks up the other modules.
-func (l *Listener) Provision(k *kernel.Kernel) (err error) {
-	if l.resolver, err = kernel.Lookup[*resolver.Resolver](k, resolver.Name); err != nil {
-		return err
-	}
-	l.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name)
-	return err
+func (l *Listener) Provision(k *kernel.Kernel) error {
+	return k.Resolve(kernel.Into(&l.resolver, resolver.Name), kernel.Into(&l.replica, replica.Name))
 }
 
 // Start listens and serves.
--- a/node/dispatch/dispatch.go
+++ b/node/dispatch/dispatch.go
@@ -109,22 +109,17 @@
 
 // Provision looks up the other modules and registers the calls between VMs.
 func (s *Service) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	var server *peer.Server
+	err := k.Resolve(
+		kernel.Into(&server, peer.ServerName),
+		kernel.Into(&s.maps, mapstore.Name),
+		kernel.Into(&s.ledger, ledger.Name),
+		kernel.Into(&s.targets, targets.Name),
+		kernel.Into(&s.replica, replica.Name),
+	)
 	if err != nil {
 		return err
 	}
-	if s.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
-		return err
-	}
-	if s.ledger, err = kernel.Lookup[*ledger.Ledger](k, ledger.Name); err != nil {
-		return err
-	}
-	if s.targets, err = kernel.Lookup[*targets.Client](k, targets.Name); err != nil {
-		return err
-	}
-	if s.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name); err != nil {
-		return err
-	}
 	s.maps.Attach(s)
 	return server.Register("Dispatch", &receiver{s})
 }
--- a/node/kernel/kernel.go
+++ b/node/kernel/kernel.go
@@ -70,6 +70,24 @@
 	return t, nil
 }
 
+// Into looks a module up and stores it; it is an argument of Resolve.
+func Into[T any](to *T, name string) func(*Kernel) error {
+	return func(k *Kernel) (err error) {
+		*to, err = Lookup[T](k, name)
+		return err
+	}
+}
+
+// Resolve does several look-ups and returns the first error.
+func (k *Kernel) Resolve(lookups ...func(*Kernel) error) error {
+	for _, lookup := range lookups {
+		if err := lookup(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Start provisions, validates and starts all modules. When one fails, those
 // that were started are stopped.
 func (k *Kernel) Start(ctx context.Context) error {
--- a/node/ledger/ledger.go
+++ b/node/ledger/ledger.go
@@ -81,16 +81,15 @@
 
 // Provision registers the calls between VMs.
 func (l *Ledger) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	var server *peer.Server
+	err := k.Resolve(
+		kernel.Into(&server, peer.ServerName),
+		kernel.Into(&l.peers, peer.ClientName),
+		kernel.Into(&l.maps, mapstore.Name),
+	)
 	if err != nil {
 		return err
 	}
-	if l.peers, err = kernel.Lookup[*peer.Client](k, peer.ClientName); err != nil {
-		return err
-	}
-	if l.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
-		return err
-	}
 	l.maps.Attach(l)
 	return server.Register("Ledger", &receiver{l})
 }
--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -106,22 +106,17 @@
 
 // Provision looks up the other modules and registers the calls between VMs.
 func (m *Manager) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
+	var server *peer.Server
+	err := k.Resolve(
+		kernel.Into(&server, peer.ServerName),
+		kernel.Into(&m.replica, replica.Name),
+		kernel.Into(&m.maps, mapstore.Name),
+		kernel.Into(&m.peers, peer.ClientName),
+		kernel.Into(&m.targets, targets.Name),
+	)
 	if err != nil {
 		return err
 	}
-	if m.replica, err = kernel.Lookup[*replica.Replica](k, replica.Name); err != nil {
-		return err
-	}
-	if m.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
-		return err
-	}
-	if m.peers, err = kernel.Lookup[*peer.Client](k, peer.ClientName); err != nil {
-		return err
-	}
-	if m.targets, err = kernel.Lookup[*targets.Client](k, targets.Name); err != nil {
-		return err
-	}
 	return server.Register("Authority", &receiver{m})
 }
 
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -73,7 +73,7 @@
 	t.m.replica.Expect(v.report.ConfigVersion)
 	if v.aheadSince > 0 && now-v.aheadSince >= maxConfigLag {
 		t.m.logger.Warn("giving the term up: the control log cannot be read here, but elsewhere", "vm", v.name)
-		t.m.act(t.m.node.Step(now, authority.Resign{}))
+		t.m.act(t.m.node.Step(now, authority.StepDown{Reason: "behind the control log"}))
 	}
 }
 
--- a/node/mapstore/mapstore.go
+++ b/node/mapstore/mapstore.go
@@ -154,8 +154,8 @@
 
 // Provision registers the call that installs maps.
 func (s *Store) Provision(k *kernel.Kernel) error {
-	server, err := kernel.Lookup[*peer.Server](k, peer.ServerName)
-	if err != nil {
+	var server *peer.Server
+	if err := k.Resolve(kernel.Into(&server, peer.ServerName)); err != nil {
 		return err
 	}
 	return server.Register("Map", &receiver{s})
--- a/node/resolver/resolver.go
+++ b/node/resolver/resolver.go
@@ -55,15 +55,8 @@
 func (r *Resolver) Name() string { return Name }
 
 // Provision looks up the other modules.
-func (r *Resolver) Provision(k *kernel.Kernel) (err error) {
-	if r.maps, err = kernel.Lookup[*mapstore.Store](k, mapstore.Name); err != nil {
-		return err
-	}
-	if r.dispatch, err = kernel.Lookup[*dispatch.Service](k, dispatch.Name); err != nil {
-		return err
-	}
-	r.peers, err = kernel.Lookup[*peer.Client](k, peer.ClientName)
-	return err
+func (r *Resolver) Provision(k *kernel.Kernel) error {
+	return k.Resolve(kernel.Into(&r.maps, mapstore.Name), kernel.Into(&r.dispatch, dispatch.Name), kernel.Into(&r.peers, peer.ClientName))
 }
 
 // Resolve runs a request to its end: it never returns OutcomeMoved.
