Do not refuse a request that ran alone between two crashes

A VM that took over a suspect learned of the second crash but not that the request had run alone at its dispatcher in between, took it for one that was in flight at two crashes, and its refusal spread to all VMs.

Ruled out: spreading the clearing too; a late message could clear a request that has crashed a target since.

Change: only the VM that reports a crash refuses; merged suspects stay suspect.

Figures: TestClearedRequestIsNotRefusedByOtherVMs printed Refused (0x3) for Alone (0x2) before, passes after; the property test passes with 3000 checks: still at most two targets fall.

Two equal requests in flight at two dispatchers at once, which one owner of a key rules out but for a move, would now need a third crash.

--- a/core/quarantine/spread.go
+++ b/core/quarantine/spread.go
@@ -61,20 +61,16 @@
 }
 
 // MergeSuspects takes over suspects of another VM. A request that is suspect
-// here because of another crash has been in flight at two, and is refused until
-// the later suspicion ends: which of the requests in flight is to blame is not
-// known here.
+// here because of an earlier crash stays suspect: it may have run alone in
+// between at its dispatcher, which alone can tell and refuses it if not.
 func (s *State) MergeSuspects(now time.Duration, list []Suspect) {
 	for _, r := range list {
 		until := now + min(r.Remaining, s.cfg.Suspicion)
 		e, known := s.entries[r.Fingerprint]
 		live := known && now < e.until
-		switch {
-		case until <= now || known && e.crash == r.Crash || live && e.refused:
-		case live:
-			s.put(now, r.Fingerprint, entry{crash: r.Crash, refused: true, until: max(e.until, until)})
-		default:
-			s.put(now, r.Fingerprint, entry{crash: r.Crash, until: until})
+		if until <= now || known && e.crash == r.Crash || live && (e.refused || e.until >= until) {
+			continue
 		}
+		s.put(now, r.Fingerprint, entry{crash: r.Crash, until: until})
 	}
 }
