Give a returning data centre its shards before loads are known

Cause: since shards balance by load, a new manager moved nothing for 15 s while every shard had an owner.

Ruled out: balancing by counts at once; a new manager would undo what loads had decided before.

Change: an operators' change within these 15 s is placed at once, by counts.

--- a/node/manager/manager.go
+++ b/node/manager/manager.go
@@ -77,7 +77,7 @@
 }
 
 type managerMetrics struct {
-	terms, lost, grants, grantErrors, maps, mapBytes, records metrics.Counter
+	terms, lost, grants, grantErrors, maps, installs, records metrics.Counter
 	acting                                                    metrics.Gauge
 	step                                                      metrics.Timer
 }
@@ -94,7 +94,7 @@
 		addrs: map[string]string{}, ctx: ctx, cancel: cancel, idleSince: c.Now(),
 		metrics: managerMetrics{
 			terms: counter("terms"), lost: counter("terms_lost"), grants: counter("grants"), grantErrors: counter("grant_errors"),
-			maps: counter("maps_published"), mapBytes: counter("installs"), records: counter("records"),
+			maps: counter("maps_published"), installs: counter("installs"), records: counter("records"),
 			acting: metrics.GetOrRegisterGauge("manager.acting", registry),
 			step:   metrics.GetOrRegisterTimer("manager.step", registry),
 		},
--- a/node/manager/shards.go
+++ b/node/manager/shards.go
@@ -112,7 +112,7 @@
 	}
 	if now-t.started >= loadsAfter {
 		t.withLoads(now, s.Name, shards)
-	} else if settled(shards, servers) {
+	} else if t.config == t.firstConfig && settled(shards, servers) {
 		return t.missing(now, st, s, servers, shards)
 	}
 	next := placement.Assign(s.Name, servers, shards)
--- a/node/manager/tenure.go
+++ b/node/manager/tenure.go
@@ -36,6 +36,9 @@
 	doc        inventory.Document
 	docVersion uint64
 	config     uint64
+	// firstConfig is the version at the beginning of the term. Until loads are
+	// known, shards move for balance only after a change by operators.
+	firstConfig uint64
 
 	vms      map[string]*vmState
 	table    *lease.Table
@@ -81,7 +84,7 @@
 		loads:      map[control.ShardKey]shardLoad{}, balancedAt: map[string]time.Duration{},
 	}
 	t.table = lease.NewTable(lease.DefaultConfig(), t.started)
-	m.replica.View(func(st *control.State) { t.fresh = !st.Published() })
+	m.replica.View(func(st *control.State) { t.fresh, t.firstConfig = !st.Published(), st.ConfigVersion() })
 	t.openTerm()
 	return t
 }
--- a/node/manager/vms.go
+++ b/node/manager/vms.go
@@ -317,7 +317,7 @@
 }
 
 func (t *tenure) install(vm, address string, args *mapstore.InstallArgs) {
-	t.m.metrics.mapBytes.Inc(1)
+	t.m.metrics.installs.Inc(1)
 	var reply mapstore.InstallReply
 	var err error
 	if vm == t.m.cfg.VM {
