--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,12 @@
 
 measure: ## Measures both deployments with stand-ins; ARGS="--only 1 --quick" runs parts.
 	go run ./standin/cmd/measure $(ARGS)
+
+FUZZTIME ?= 10s
+
+fuzz: ## Runs each fuzz target for FUZZTIME.
+	@for p in $$(go list $(MODULES)); do \
+		for f in $$(go test -list '^Fuzz' $$p | grep '^Fuzz'); do \
+			echo "$$p $$f"; go test -run '^$$' -fuzz "^$$f\$$" -fuzztime $(FUZZTIME) $$p || exit 1; \
+		done; \
+	done
