--- a/node/manager/inputs.go
+++ b/node/manager/inputs.go
@@ -110,6 +110,12 @@
 	want       placement.Dispatch
 }
 
+// madeFrom tells whether a choice was made from the same as next would be.
+func (c *chosenDispatch) madeFrom(next chosenDispatch) bool {
+	return c.vms == next.vms && c.avoided == next.avoided && c.dataCentre == next.dataCentre &&
+		c.current.Dispatcher == next.current.Dispatcher && slices.Equal(c.current.Copies, next.current.Copies)
+}
+
 // chooseDispatch returns the dispatcher and copies that a group should have.
 // With restarted, the process that the entry names is gone.
 func (t *tenure) chooseDispatch(now time.Duration, p groupPlan, g *groupState, vms []placement.VM, restarted bool) placement.Dispatch {
@@ -120,10 +126,11 @@
 	vms, avoided := t.reaching(now, p.target, g, vms)
 	name, dataCentre := p.name, p.dataCentre
 	c := &g.chosen
-	if c.vms == t.vmChanges && c.avoided == avoided && c.dataCentre == dataCentre && c.current.Dispatcher == current.Dispatcher && slices.Equal(c.current.Copies, current.Copies) {
+	next := chosenDispatch{vms: t.vmChanges, avoided: avoided, dataCentre: dataCentre, current: current}
+	if c.madeFrom(next) {
 		return c.want
 	}
-	*c = chosenDispatch{vms: t.vmChanges, avoided: avoided, dataCentre: dataCentre, current: current}
+	*c = next
 	c.want = placement.Dispatchers(name, dataCentre, vms, current)
 	return c.want
 }
