Never take the tests with processes from the test cache

Ruled out: importing the packages of the programs in the test; it would have to follow every new package.

Change: -count=1 in `make test`.

Conclusion: the verdict is that of the code under test.

--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,13 @@
 	go build -o bin/ ./cmd/mangogate ./cmd/mangogatectl ./standin/cmd/standin
 
 # The tests with processes run by themselves: they check times, and property
-# tests beside them take all processors.
+# tests beside them take all processors. Their results are never cached: the go
+# command does not see that they depend on the programs that they build.
 UNITS := ./core/... ./node/... ./standin/... ./cmd/mangogate/... ./cmd/mangogatectl/...
 
 test: ## Runs all tests.
 	go test $(UNITS)
-	go test -timeout 30m ./cmd/integration
+	go test -count=1 -timeout 30m ./cmd/integration
 
 race: ## Runs the tests with the race detector, without those that start processes.
 	go test -race $(UNITS)
