--- a/cmd/mangogate/main.go
+++ b/cmd/mangogate/main.go
@@ -18,7 +18,7 @@
 	app := &cli.Command{
 		Name:     "mangogate",
 		Usage:    "route requests to the servers that own their keys",
-		Commands: []*cli.Command{serveCommand(), demoCommand()},
+		Commands: []*cli.Command{serveCommand(), platformCommand(), demoCommand()},
 	}
 	if err := usage.Strict(app).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/core/lending/queue.go
@@ -0,0 +1,240 @@
+package lending
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mangogate/mangogate/core/quarantine"
+)
+
+const (
+	// lateShare is the share of a request's whole time after which an answer
+	// is not waited for in the queue. Beyond it, a refusal lets the caller come
+	// back while it still has time.
+	lateShare = 0.6
+	// refusalMemory is how long a refused request is recognised when it comes
+	// back: callers wait at most a third of their time.
+	refusalMemory = 2 * time.Second
+	// maxRefusals bounds the memory of refusals.
+	maxRefusals = 4096
+	// minRetryAfter is the shortest wait that is asked of a caller.
+	minRetryAfter = 50 * time.Millisecond
+	// maxRetryAfter is the longest wait that helps a caller with the usual
+	// deadlines of one to four seconds.
+	maxRetryAfter = time.Second
+	// retrySpread keeps callers that were refused together from returning together.
+	retrySpread = 0.5
+	// ownerWait is how long a request waits for an owner of its key: planned
+	// moves take about as long as one request.
+	ownerWait = 250 * time.Millisecond
+)
+
+// refusal remembers a request that was told to come back.
+type refusal struct {
+	arrived time.Duration
+	at      time.Duration
+}
+
+// admit refuses a request that cannot be answered in time.
+func (l *Lender) admit(now time.Duration, r *Request) (Decision, bool) {
+	if !l.started {
+		return Decision{Reason: NotStarted, RetryAfter: minRetryAfter}, true
+	}
+	if l.crashes.Check(now, r.Print) == quarantine.Refused {
+		return Decision{Reason: Suspect, RetryAfter: maxRetryAfter}, true
+	}
+	if !r.Repeat {
+		l.budget.Request(now)
+	} else if !l.budget.Allow(now) {
+		return Decision{Reason: NoBudget, RetryAfter: minRetryAfter}, true
+	}
+	if earlier, back := l.refused[r.Print]; back && r.Print != 0 {
+		r.Arrived = min(r.Arrived, earlier.arrived)
+	}
+	wait, reason := l.expectedWait(now, r)
+	if reason != "" {
+		return Decision{Reason: reason, RetryAfter: wait}, true
+	}
+	done := now + wait + l.expectedWork(r.Route)
+	if done > l.patience(now, r) {
+		return Decision{Reason: Overload, RetryAfter: wait}, true
+	}
+	return Decision{}, false
+}
+
+// patience is the point in time up to which an answer is worth a place in the
+// queue: the objective, or a share of the deadline for those whose objective
+// is short or passed.
+func (l *Lender) patience(now time.Duration, r *Request) time.Duration {
+	return max(r.Objective, now+time.Duration(lateShare*float64(r.Deadline-now)))
+}
+
+// expectedWait estimates the time until a slot is free for a request, from the
+// work that goes before it and the slots that it may use.
+func (l *Lender) expectedWait(now time.Duration, r *Request) (time.Duration, Reason) {
+	if r.Key != NoKey {
+		return l.ownerBacklog(now, r)
+	}
+	var slots float64
+	free := false
+	for _, t := range l.targets {
+		if !t.available(now) {
+			continue
+		}
+		slots += float64(l.slotsOf(now, t)) / t.slowness
+		free = free || l.hasRoom(now, t)
+	}
+	if slots == 0 {
+		return minRetryAfter, NoTarget
+	}
+	ahead := l.workAhead(r, "")
+	if ahead == 0 && free {
+		return 0, ""
+	}
+	return time.Duration(float64(ahead+l.expectedWork(r.Route)) / slots), ""
+}
+
+func (l *Lender) ownerBacklog(now time.Duration, r *Request) (time.Duration, Reason) {
+	t, state := l.ownerOf(r.Key)
+	switch {
+	case state == Lost:
+		return maxRetryAfter, NoOwner
+	case state == Moving:
+		return 0, "" // the queue bounds the wait
+	case !t.available(now):
+		return ownerWait, NoOwner
+	}
+	ahead := l.workAhead(r, t.ID)
+	if ahead == 0 && l.hasRoom(now, t) {
+		return 0, ""
+	}
+	slots := max(1, l.slotsOf(now, t))
+	return time.Duration(float64(ahead+l.expectedWork(r.Route)) * t.slowness / float64(slots)), ""
+}
+
+// workAhead sums the expected work of the waiting requests that go before one.
+func (l *Lender) workAhead(r *Request, owner string) time.Duration {
+	var sum time.Duration
+	for _, w := range l.waiting {
+		if w.Priority > r.Priority {
+			break
+		}
+		if owner != "" {
+			if t, state := l.ownerOf(w.Key); state != Held || t.ID != owner {
+				continue
+			}
+		}
+		sum += l.expectedWork(w.Route)
+	}
+	return sum
+}
+
+// enqueue keeps the order: priority, then arrival.
+func (l *Lender) enqueue(r *Request) {
+	i, _ := slices.BinarySearchFunc(l.waiting, r, before)
+	for i < len(l.waiting) && before(l.waiting[i], r) <= 0 {
+		i++
+	}
+	l.waiting = slices.Insert(l.waiting, i, r)
+}
+
+func before(a, b *Request) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	switch {
+	case a.Arrived < b.Arrived:
+		return -1
+	case a.Arrived > b.Arrived:
+		return 1
+	}
+	return 0
+}
+
+// dispatch lends free slots to waiting requests, those that can still meet
+// their objective first, and refuses those that wait in vain.
+func (l *Lender) dispatch(now time.Duration) {
+	if len(l.waiting) == 0 {
+		return
+	}
+	kept := l.waiting[:0]
+	var late []*Request
+	for _, r := range l.waiting {
+		switch {
+		case l.expired(now, r):
+		case now+l.expectedWork(r.Route) > r.Objective:
+			late = append(late, r)
+		case !l.tryLend(now, r):
+			kept = append(kept, r)
+		}
+	}
+	for _, r := range late {
+		if !l.tryLend(now, r) {
+			kept = append(kept, r)
+		}
+	}
+	clear(l.waiting[len(kept):])
+	l.waiting = kept
+	if len(late) > 0 {
+		slices.SortStableFunc(l.waiting, before)
+	}
+}
+
+// expired refuses a request that cannot be answered in time, or whose key has
+// had no owner for too long.
+func (l *Lender) expired(now time.Duration, r *Request) bool {
+	if now+l.expectedWork(r.Route) > r.Deadline {
+		l.refuse(now, r, Decision{Reason: Expired, RetryAfter: minRetryAfter})
+		return true
+	}
+	if r.Key == NoKey {
+		return false
+	}
+	t, state := l.ownerOf(r.Key)
+	if state == Lost || state == Moving && now > r.Arrived+ownerWait || state == Held && !t.available(now) {
+		l.refuse(now, r, Decision{Reason: NoOwner, RetryAfter: ownerWait})
+		return true
+	}
+	return false
+}
+
+func (l *Lender) tryLend(now time.Duration, r *Request) bool {
+	if l.crashes.Check(now, r.Print) == quarantine.Alone && l.printInFlight(r.Print) {
+		return false
+	}
+	t := l.choose(now, r)
+	if t == nil {
+		return false
+	}
+	t.lend(now)
+	l.lent[r.ID] = &loan{Request: *r, target: t, sent: now}
+	l.out = append(l.out, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
+	return true
+}
+
+func (l *Lender) printInFlight(p quarantine.Fingerprint) bool {
+	for _, n := range l.lent {
+		if n.Print == p {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Lender) refuse(now time.Duration, r *Request, d Decision) {
+	d.ID, d.Waited = r.ID, now-r.Arrived
+	d.RetryAfter = min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
+	d.RetryAfter += time.Duration(retrySpread * l.rng.Float64() * float64(d.RetryAfter))
+	l.out = append(l.out, d)
+	if len(l.refused) < maxRefusals && r.Print != 0 {
+		l.refused[r.Print] = refusal{arrived: r.Arrived, at: now}
+	}
+}
+
+func (l *Lender) expireRefusals(now time.Duration) {
+	for p, r := range l.refused {
+		if now > r.at+refusalMemory {
+			delete(l.refused, p)
+		}
+	}
+}
--- /dev/null
+++ b/core/lending/target.go
@@ -0,0 +1,229 @@
+package lending
+
+import (
+	"time"
+
+	"github.com/mangogate/mangogate/core/quarantine"
+)
+
+const (
+	// workGuess is the expected work of a route that was never answered.
+	workGuess = 80 * time.Millisecond // near the mean of the sites' kinds
+	// workWeight and slownessWeight weigh a new sample in the running means.
+	workWeight     = 0.05 // work varies by a factor of several between requests
+	slownessWeight = 0.12 // a slow target shows within about eight answers
+	failWeight     = 0.15
+	// overdue is the multiple of the expected work at which a request that
+	// still runs counts as a sign that its target is slow.
+	overdue = 4.0
+	// crossingCost is added to the expected time at a target in another data
+	// centre, so that bytes stay in their data centre where times are alike.
+	crossingCost = 4 * time.Millisecond
+	// failCost multiplies the expected time at a target that fails requests.
+	failCost = 4.0
+	// firstAvoidance and maxAvoidance bound how long a target that could not
+	// be reached is left alone.
+	firstAvoidance = 100 * time.Millisecond
+	maxAvoidance   = 2 * time.Second
+	// coldShare keeps below the rate that a cold target bears.
+	coldShare = 0.9
+	coldBurst = 2.0 // requests
+	coldSlots = 2   // work takes longer at a cold target
+	// crashMemory is how long after a broken connection the end of its target
+	// is put down to the requests that it ran.
+	crashMemory = 1500 * time.Millisecond
+	// maxSlowness bounds the learned slowness, so that it is unlearned soon.
+	maxSlowness, minSlowness = 12.0, 0.2
+	shedPause                = 50 * time.Millisecond // about half of a request's work
+)
+
+// target is a target with what the lender learned of it.
+type target struct {
+	TargetInfo
+	known, usable bool
+	inFlight      int
+	slowness      float64 // work here relative to the mean of all targets
+	reported      float64 // slowdown as the target last reported it
+	failing       float64 // share of failed requests, 0 to 1
+	avoidUntil    time.Duration
+	avoidance     time.Duration
+	tokens        float64 // while cold
+	tokensAt      time.Duration
+	broken        []brokenLoan
+	oldestSent    time.Duration
+}
+
+type brokenLoan struct {
+	print quarantine.Fingerprint
+	at    time.Duration
+}
+
+// routeStats is the mean work of a route's requests at a target of usual speed.
+type routeStats struct{ work time.Duration }
+
+func newTarget(info TargetInfo) *target {
+	return &target{TargetInfo: info, slowness: 1, reported: 1, tokens: 1}
+}
+
+func (l *Lender) expectedWork(route string) time.Duration {
+	if s := l.routes[route]; s != nil {
+		return s.work
+	}
+	return workGuess
+}
+
+// ownerOf returns the target that holds a key, or nil and the key's state.
+func (l *Lender) ownerOf(key int) (*target, OwnerState) {
+	o := l.owner(key)
+	if o.State != Held {
+		return nil, o.State
+	}
+	t := l.targets[o.Target]
+	if t == nil || !t.usable {
+		return nil, Moving // its keys are about to be moved
+	}
+	return t, Held
+}
+
+// available tells whether requests may be sent to a target at all.
+func (t *target) available(now time.Duration) bool { return t.usable && now >= t.avoidUntil }
+
+func (t *target) cold(now time.Duration) bool { return now < t.ColdUntil }
+
+func (l *Lender) slotsOf(now time.Duration, t *target) int {
+	slots := t.Slots
+	if l.cfg.SlotsPerTarget > 0 {
+		slots = min(slots, l.cfg.SlotsPerTarget)
+	}
+	if t.cold(now) {
+		slots = min(slots, coldSlots)
+	}
+	return slots
+}
+
+// hasRoom tells whether a target may be sent one more request now.
+func (l *Lender) hasRoom(now time.Duration, t *target) bool {
+	if t.inFlight >= l.slotsOf(now, t) {
+		return false
+	}
+	if !t.cold(now) {
+		return true
+	}
+	t.refill(now)
+	return t.tokens >= 1
+}
+
+func (t *target) refill(now time.Duration) {
+	t.tokens = min(coldBurst, t.tokens+coldShare*t.ColdRate*(now-t.tokensAt).Seconds())
+	t.tokensAt = now
+}
+
+func (t *target) lend(now time.Duration) {
+	if t.cold(now) {
+		t.refill(now)
+		t.tokens--
+	}
+	t.inFlight++
+}
+
+// choose returns the target at which a request is expected to end first.
+func (l *Lender) choose(now time.Duration, r *Request) *target {
+	if r.Key != NoKey {
+		t, state := l.ownerOf(r.Key)
+		if state != Held || !t.available(now) || !l.hasRoom(now, t) {
+			return nil
+		}
+		return t
+	}
+	var best *target
+	var bestTime float64
+	for _, t := range l.targets {
+		if !t.available(now) || !l.hasRoom(now, t) {
+			continue
+		}
+		time := l.expectedTime(now, r, t)
+		if best == nil || time < bestTime || (time == bestTime && t.ID < best.ID) {
+			best, bestTime = t, time
+		}
+	}
+	return best
+}
+
+func (l *Lender) expectedTime(now time.Duration, r *Request, t *target) float64 {
+	at := float64(l.expectedWork(r.Route)) * t.slowness * (1 + failCost*t.failing)
+	if t.DataCentre != r.DataCentre {
+		at += float64(crossingCost)
+	}
+	if t.ID == r.Avoid {
+		at *= failCost
+	}
+	// A target with more requests at work is slower for each of them.
+	at *= 1 + 0.1*float64(t.inFlight)
+	return at
+}
+
+// learn updates what is known of a target from the end of a request.
+func (l *Lender) learn(now time.Duration, n *loan, u Usage) {
+	t := n.target
+	switch u.Result {
+	case Answered, Failed:
+		l.learnWork(n, u)
+		t.avoidance = 0
+		t.noteFailure(u.Result == Failed)
+	case Shed:
+		t.avoidUntil = max(t.avoidUntil, now+shedPause)
+	case Refused:
+		t.avoid(now)
+		l.noteCrash(now, t)
+	case Broken:
+		t.noteFailure(true)
+		t.broken = append(t.broken, brokenLoan{n.Print, now})
+	case TimedOut:
+		t.noteFailure(true)
+		l.learnWork(n, u)
+	}
+}
+
+func (t *target) avoid(now time.Duration) {
+	t.avoidance = min(max(2*t.avoidance, firstAvoidance), maxAvoidance)
+	t.avoidUntil = now + t.avoidance
+}
+
+func (t *target) noteFailure(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	t.failing += failWeight * (sample - t.failing)
+}
+
+func (l *Lender) learnWork(n *loan, u Usage) {
+	if u.Took <= 0 {
+		return
+	}
+	s := l.routes[n.Route]
+	if s == nil {
+		s = &routeStats{work: workGuess}
+		l.routes[n.Route] = s
+	}
+	ratio := float64(u.Took) / float64(s.work)
+	t := n.target
+	t.slowness += slownessWeight * (min(ratio, overdue*t.slowness) - t.slowness)
+	t.slowness = min(max(t.slowness, minSlowness), maxSlowness)
+	s.work += time.Duration(workWeight * (float64(u.Took)/t.slowness - float64(s.work)))
+}
+
+// noteCrash puts the end of a target's process down to the requests whose
+// connections it broke.
+func (l *Lender) noteCrash(now time.Duration, t *target) {
+	var prints []quarantine.Fingerprint
+	for _, b := range t.broken {
+		if now <= b.at+crashMemory && b.print != 0 {
+			prints = append(prints, b.print)
+		}
+	}
+	t.broken = nil
+	if len(prints) > 0 {
+		l.crashes.Crashed(now, t.ID, time.Duration(t.Life).String(), prints)
+	}
+}
--- /dev/null
+++ b/node/cell/claim.go
@@ -0,0 +1,141 @@
+package cell
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
+)
+
+// errDeposed means that another VM leads the cell.
+var errDeposed = errors.New("another VM leads the cell")
+
+// writePause is the pause before an append is tried again.
+const writePause = 100 * time.Millisecond
+
+// write appends a cell's record behind all that this VM has read, and returns
+// its number. It goes on until the outcome is known: an append without an
+// answer may be done later, and only the log can tell.
+func (s *Service) write(ctx context.Context, c *fleet.Cell) (int64, error) {
+	before, _ := s.view.Cell(c.Service)
+	c.Change = rand.Uint64()
+	change := view.Change{Log: view.System, Key: view.CellKey(c.Service), Cell: c}
+	for {
+		end := s.view.End(view.System)
+		began := s.clock.Now()
+		offset, err := s.store.Append(ctx, change, end)
+		if err == nil {
+			change.Offset = offset
+			s.view.Apply(view.System, []view.Change{change}, offset+1, began)
+			return view.Number(offset), nil
+		}
+		s.logger.Info("append was not confirmed", "service", c.Service, "end", end, "error", err)
+		if !errors.Is(err, view.ErrConflict) {
+			if ctx.Err() != nil {
+				return 0, ctx.Err()
+			}
+			time.Sleep(writePause)
+		}
+		if err := s.readSystem(ctx); err != nil {
+			s.logger.Info("log was not read after an append", "error", err)
+			continue
+		}
+		now, number := s.view.Cell(c.Service)
+		switch {
+		case now != nil && now.Change == c.Change && now.Boot == c.Boot:
+			return number, nil
+		case now != before:
+			return 0, errDeposed
+		}
+	}
+}
+
+// readSystem reads the system's log to its end.
+func (s *Service) readSystem(ctx context.Context) error {
+	for {
+		from, began := s.view.End(view.System), s.clock.Now()
+		changes, end, err := s.store.Read(ctx, view.System, from, 0)
+		if errors.Is(err, view.ErrHistoryGone) {
+			if changes, end, err = s.store.Newest(ctx, view.System); err == nil {
+				s.view.Replace(view.System, changes, end, began)
+				return nil
+			}
+		}
+		if err != nil {
+			return err
+		}
+		s.view.Apply(view.System, changes, end, began)
+		if len(changes) == 0 {
+			return nil
+		}
+	}
+}
+
+// claim makes this VM the leader of a cell.
+func (s *Service) claim(ctx context.Context, svc fleet.Service, seen *fleet.Cell) error {
+	if err := s.readSystem(ctx); err != nil {
+		return errors.Wrap(err, "read the system's log before a claim")
+	}
+	now, _ := s.view.Cell(svc.Name)
+	if now != seen {
+		return errDeposed
+	}
+	m, assignments := s.inherit(svc, false)
+	number, err := s.write(ctx, &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot, Keys: assignments})
+	if err != nil {
+		return errors.Wrap(err, "write the claim")
+	}
+	if m != nil {
+		m.Committed(number)
+	}
+	s.begin(svc.Name, m, number)
+	return nil
+}
+
+// inherit builds the manager of a cell from its record. Appointed means that
+// the previous leader named this VM and had stopped before.
+func (s *Service) inherit(svc fleet.Service, appointed bool) (*keyspace.Manager, []keyspace.Assignment) {
+	if !svc.Keyed {
+		return nil, nil
+	}
+	c, number := s.view.Cell(svc.Name)
+	bound := time.Duration(0)
+	if c != nil {
+		bound = s.clock.Now() + callTimeout + time.Duration(float64(hold)*(1+clockError))
+		if !appointed && !s.processEnded(c.Leader, c.Boot) {
+			bound += authority
+		}
+	}
+	m := keyspace.New(keyConfig(), resolveFences(c, number), bound)
+	if appointed {
+		return m, nil
+	}
+	return m, m.TakeOver()
+}
+
+// resolveFences returns a record's assignments with the fences that the store
+// gave them.
+func resolveFences(c *fleet.Cell, number int64) []keyspace.Assignment {
+	if c == nil {
+		return nil
+	}
+	out := make([]keyspace.Assignment, len(c.Keys))
+	copy(out, c.Keys)
+	for i := range out {
+		if out[i].Fence == 0 && out[i].Owner.Target != "" {
+			out[i].Fence = number
+		}
+	}
+	return out
+}
+
+// processEnded tells whether a VM's process is known to have ended: the VM has
+// registered with a later one, or not at all.
+func (s *Service) processEnded(id, boot string) bool {
+	vm, known := s.view.VM(id)
+	return !known || vm.Boot != boot
+}
--- /dev/null
+++ b/node/cell/desk.go
@@ -0,0 +1,185 @@
+package cell
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/retry"
+	"github.com/mangogate/mangogate/node/view"
+)
+
+// desk runs a lender: it feeds it targets and time, and hands its decisions to
+// the requests that wait for them.
+type desk struct {
+	service string
+	now     func() time.Duration
+	view    *view.View
+	// coldShare is this VM's part of the rate of a cold target.
+	coldShare float64
+
+	mu      sync.Mutex
+	lender  *lending.Lender
+	waiters map[uint64]chan lending.Decision
+	keys    *keyspace.Manager // nil if the service has no keys or the desk does not lead
+	load    *keyspace.Load
+	seen    uint64 // version of the view that the targets were taken from
+	lastID  *atomic.Uint64
+	wake    chan struct{}
+}
+
+func newDesk(s *Service, service string, cfg lending.Config) *desk {
+	d := &desk{
+		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
+		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
+	}
+	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
+	return d
+}
+
+// ownerOf is called with mu held.
+func (d *desk) ownerOf(key int) lending.Ownership {
+	if d.keys != nil {
+		h, state := d.keys.Owner(key)
+		return lending.Ownership{Target: h.Target, State: lending.OwnerState(state)}
+	}
+	// A desk that does not lead goes by the last record of the cell; a target
+	// that no longer holds the key says so and does not run the request.
+	if owner := recordedOwner(d.view, d.service, key); owner != "" {
+		return lending.Ownership{Target: owner, State: lending.Held}
+	}
+	return lending.Ownership{State: lending.Lost}
+}
+
+func recordedOwner(v *view.View, service string, key int) string {
+	c, _ := v.Cell(service)
+	if c == nil {
+		return ""
+	}
+	for i := range c.Keys {
+		if a := &c.Keys[i]; a.From <= key && key <= a.To {
+			return a.Owner.Target
+		}
+	}
+	return ""
+}
+
+// ask waits for the decision on a request. When ctx ends first, a slot that is
+// lent later is returned unused.
+func (d *desk) ask(ctx context.Context, a LendArgs) (lending.Decision, error) {
+	id := d.lastID.Add(1)
+	decided := make(chan lending.Decision, 1)
+	d.mu.Lock()
+	now := d.now()
+	d.refresh(now)
+	d.waiters[id] = decided
+	if d.load != nil && a.Key != lending.NoKey && !a.Repeat {
+		d.load.Add(a.Key, d.lender.ExpectedWork(a.Route))
+	}
+	d.lender.Ask(now, lending.Request{
+		ID: id, DataCentre: a.DataCentre, Route: a.Route, Priority: a.Priority, Idempotent: a.Idempotent,
+		Arrived: now - a.Age, Objective: now + a.Objective, Deadline: now + a.Deadline,
+		Key: a.Key, Repeat: a.Repeat, Avoid: a.Avoid, Print: a.Print,
+	})
+	d.deliver()
+	waits := d.lender.Waiting() > 0
+	d.mu.Unlock()
+	if waits {
+		select {
+		case d.wake <- struct{}{}:
+		default:
+		}
+	}
+	select {
+	case dec := <-decided:
+		return dec, nil
+	case <-ctx.Done():
+		go d.returnUnused(decided)
+		return lending.Decision{}, ctx.Err()
+	}
+}
+
+func (d *desk) returnUnused(decided chan lending.Decision) {
+	if dec := <-decided; dec.Lent {
+		d.giveBack(lending.Usage{ID: dec.ID, Result: lending.Unused})
+	}
+}
+
+// deliver is called with mu held.
+func (d *desk) deliver() {
+	for _, dec := range d.lender.Take() {
+		if ch := d.waiters[dec.ID]; ch != nil {
+			delete(d.waiters, dec.ID)
+			ch <- dec
+		}
+	}
+}
+
+// giveBack ends a loan.
+func (d *desk) giveBack(u lending.Usage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if key, target, ok := d.lender.Loan(u.ID); ok && u.Result == lending.WrongOwner && d.keys != nil {
+		d.keys.WrongOwner(now, key, target)
+	}
+	d.lender.Return(now, u)
+	d.deliver()
+}
+
+// tick advances the lender.
+func (d *desk) tick() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.refresh(now)
+	d.lender.Tick(now)
+	d.deliver()
+	return d.lender.NextTick()
+}
+
+// refresh takes the targets from the view if it has changed. It is called with
+// mu held.
+func (d *desk) refresh(now time.Duration) {
+	version, _ := d.view.Changed()
+	if version == d.seen || !d.view.Ready() {
+		return
+	}
+	d.seen = version
+	cfg, _ := d.view.Config()
+	svc, _ := cfg.Service(d.service)
+	var infos []lending.TargetInfo
+	for _, t := range d.view.TargetsOf(d.service) {
+		if !t.Usable {
+			continue
+		}
+		infos = append(infos, lending.TargetInfo{
+			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Life: t.Life, Slots: t.Slots,
+			ColdUntil: t.ColdUntil, ColdRate: svc.ColdRate * d.coldShare,
+		})
+	}
+	d.lender.SetTargets(now, infos)
+}
+
+// soloConfig limits a VM that lends to itself because it reaches no leader:
+// all VMs together then stay within the slots and queue of a target.
+func soloConfig() lending.Config {
+	return lending.Config{SlotsPerTarget: 1, Budget: retry.BudgetConfig{Share: soloRetryShare, Burst: soloRetryBurst}}
+}
+
+const (
+	// retryShare and retryBurst keep below the retry budget of the sites, 0.2
+	// and 56 in 10 s, so that repeats of VMs without a leader have room.
+	retryShare     = 0.1
+	retryBurst     = 20
+	soloRetryShare = 0.05
+	soloRetryBurst = 2
+)
+
+func leaderConfig() lending.Config {
+	return lending.Config{Budget: retry.BudgetConfig{Share: retryShare, Burst: retryBurst}}
+}
--- /dev/null
+++ b/node/cell/lead.go
@@ -0,0 +1,217 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
+)
+
+const (
+	// hold is how long a target keeps keys without a renewal. Keys of a target
+	// that vanished are served again after it, within 4 s.
+	hold  = 3 * time.Second
+	renew = 800 * time.Millisecond // two renewals may be lost
+	// callTimeout bounds a grant; a target answers one in a few milliseconds.
+	callTimeout = 700 * time.Millisecond
+	// releaseTimeout bounds a release, which waits for work to end.
+	releaseTimeout = 2500 * time.Millisecond
+	// clockError is the platform's bound for a target's clock.
+	clockError = 0.02
+	maxParts   = 8 // ranges a target
+	// authority is how long after the last confirmation from the store a
+	// leader may still grant keys.
+	authority = 2500 * time.Millisecond
+	// keyTick is the pause between two looks for calls that are due.
+	keyTick = 50 * time.Millisecond
+	// planPause is the pause between two plans: hot keys move within a second.
+	planPause = 400 * time.Millisecond
+	// unreachableAfter is how long calls to an owner fail until its keys move.
+	unreachableAfter = 800 * time.Millisecond
+	// coldCapacity is the capacity of a cold target, which works at half speed
+	// and bears few requests.
+	coldCapacity = 0.3
+)
+
+func keyConfig() keyspace.Config {
+	return keyspace.Config{Hold: hold, Renew: renew, CallTimeout: callTimeout, ClockError: clockError, MaxParts: maxParts}
+}
+
+// Order is a call to a target about keys.
+type Order struct {
+	Target, Address string
+	From, To        int
+	Fence           int64
+	Hold            time.Duration // grants only
+	Handover        string        // grants only
+}
+
+// Orders carries grants and releases to targets. When ctx ends the call's
+// connection is reset.
+type Orders interface {
+	// Grant gives or renews keys. Gate is asked right before sending.
+	Grant(ctx context.Context, o Order, gate func() error) (keyspace.CallResult, error)
+	// Release takes keys back and returns the handover of the target.
+	Release(ctx context.Context, o Order) (handover string, result keyspace.CallResult, err error)
+}
+
+// lead is a cell that this VM leads.
+type lead struct {
+	*desk
+	s      *Service
+	logger hclog.Logger
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
+	l := &lead{desk: newDesk(s, service, leaderConfig()), s: s, logger: s.logger.With("service", service), done: make(chan struct{})}
+	l.keys = m
+	if m != nil {
+		l.load = &keyspace.Load{}
+	}
+	return l
+}
+
+// run lends slots and manages keys until ctx ends.
+func (l *lead) run(ctx context.Context) {
+	defer close(l.done)
+	nextKeys, nextPlan := l.now(), l.now()
+	for {
+		pause := l.tick()
+		if now := l.now(); l.keys != nil && now >= nextKeys {
+			l.stepKeys(ctx)
+			nextKeys = now + keyTick
+			if now >= nextPlan {
+				l.plan(ctx)
+				nextPlan = now + planPause
+			}
+		}
+		if l.keys != nil {
+			pause = min(pause, keyTick)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		case <-l.wake:
+			select { // requests wait: look again soon
+			case <-ctx.Done():
+				return
+			case <-time.After(min(pause, keyTick/5)):
+			}
+		}
+	}
+}
+
+// errNoAuthority keeps a grant from being sent.
+var errNoAuthority = errors.New("the store has not confirmed lately that this VM leads the cell")
+
+// mayGrant tells whether the store has confirmed lately that this VM leads.
+func (l *lead) mayGrant() error {
+	c, _ := l.view.Cell(l.service)
+	if c == nil || c.Leader != l.s.self.ID || c.Boot != l.s.self.Boot || l.view.Staleness(view.System) > authority {
+		return errNoAuthority
+	}
+	return nil
+}
+
+func (l *lead) stepKeys(ctx context.Context) {
+	if l.mayGrant() != nil {
+		return
+	}
+	l.mu.Lock()
+	actions := l.keys.Step(l.now(), l.alive)
+	l.mu.Unlock()
+	for _, a := range actions {
+		go l.perform(ctx, a)
+	}
+}
+
+func (l *lead) alive(h keyspace.Holder) bool { return l.view.Alive(h.Target, h.Life) }
+
+func (l *lead) perform(ctx context.Context, a keyspace.Action) {
+	address, ok := l.view.Address(a.Holder.Target)
+	if !ok {
+		l.finish(a, keyspace.NotSent, "", errors.New("the target's address is not known"))
+		return
+	}
+	o := Order{Target: a.Holder.Target, Address: address, From: a.From, To: a.To, Fence: a.Fence, Hold: hold, Handover: a.Handover}
+	timeout := callTimeout
+	if a.Kind == keyspace.Release {
+		timeout = releaseTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if a.Kind == keyspace.Release {
+		handover, result, err := l.s.orders.Release(ctx, o)
+		l.finish(a, result, handover, err)
+		return
+	}
+	result, err := l.s.orders.Grant(ctx, o, l.mayGrant)
+	l.finish(a, result, "", err)
+}
+
+func (l *lead) finish(a keyspace.Action, result keyspace.CallResult, handover string, err error) {
+	l.mu.Lock()
+	l.keys.Done(l.now(), a.ID, result, handover)
+	l.lender.Tick(l.now())
+	l.deliver()
+	l.mu.Unlock()
+	if err != nil || a.Kind == keyspace.Release {
+		l.logger.Info("keys", "kind", a.Kind.String(), "target", a.Holder.Target, "from", a.From, "to", a.To, "fence", a.Fence,
+			"result", result.String(), "error", err)
+	}
+}
+
+// plan proposes new owners and writes them to the store.
+func (l *lead) plan(ctx context.Context) {
+	if l.mayGrant() != nil {
+		return
+	}
+	l.mu.Lock()
+	now := l.now()
+	l.load.Decay(now)
+	assignments, change := l.keys.Propose(now, l.candidates(now), l.load)
+	l.mu.Unlock()
+	if change {
+		go l.commit(ctx, assignments)
+	}
+}
+
+// candidates is called with mu held.
+func (l *lead) candidates(now time.Duration) []keyspace.Candidate {
+	var out []keyspace.Candidate
+	for _, t := range l.view.TargetsOf(l.service) {
+		h := keyspace.Holder{Target: t.ID, Life: t.Life}
+		if !t.Usable || l.keys.FailingFor(now, h) > unreachableAfter {
+			continue
+		}
+		capacity := float64(t.Slots) / l.lender.Slowness(t.ID)
+		if now < t.ColdUntil {
+			capacity *= coldCapacity
+		}
+		out = append(out, keyspace.Candidate{Holder: h, Capacity: capacity})
+	}
+	return out
+}
+
+// commit writes a proposal and makes it effective.
+func (l *lead) commit(ctx context.Context, assignments []keyspace.Assignment) {
+	began := l.now()
+	number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Keys: assignments})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		// The cell has another leader, or this process stops: the proposal
+		// stays open so that nothing more is proposed.
+		l.logger.Warn("assignments were not written", "ranges", len(assignments), "error", err)
+		return
+	}
+	l.keys.Committed(number)
+	l.logger.Info("assignments written", "number", number, "ranges", len(assignments), "took", l.now()-began)
+}
--- /dev/null
+++ b/node/cell/lend.go
@@ -0,0 +1,118 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/pkg/errors"
+)
+
+// lendSlack is how long after a request's deadline the leader's answer is
+// still waited for.
+const lendSlack = 50 * time.Millisecond
+
+// returnTimeout bounds the report of a request's end.
+const returnTimeout = time.Second
+
+// Slot is the decision on a request, with the desk that made it.
+type Slot struct {
+	lending.Decision
+	service string
+	leader  string // peer address, "" if this VM made the decision
+	desk    *desk
+	By      string // VM that decided
+}
+
+// Lend asks for a slot: the leader if it is heard, otherwise this VM's own
+// small share. The error is that of ctx.
+func (s *Service) Lend(ctx context.Context, a LendArgs) (Slot, error) {
+	if l := s.leadOf(a.Service); l != nil {
+		d, err := l.ask(ctx, a)
+		return Slot{Decision: d, service: a.Service, desk: l.desk, By: s.self.ID}, err
+	}
+	if slot, ok := s.lendRemote(ctx, a); ok || ctx.Err() != nil {
+		return slot, ctx.Err()
+	}
+	return s.lendAlone(ctx, a)
+}
+
+func (s *Service) lendRemote(ctx context.Context, a LendArgs) (Slot, bool) {
+	c, _ := s.view.Cell(a.Service)
+	if c == nil || !s.heardLately(c.Leader, c.Boot) {
+		return Slot{}, false
+	}
+	vm, ok := s.view.VM(c.Leader)
+	if !ok || vm.Boot != c.Boot {
+		return Slot{}, false
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
+	type answer struct {
+		reply LendReply
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		defer cancel()
+		var r answer
+		r.err = s.peers.Call(call, vm.PeerAddress, RPCName+".Lend", a, &r.reply)
+		answered <- r
+	}()
+	slot := func(r answer) Slot {
+		return Slot{Decision: r.reply.Decision, service: a.Service, leader: vm.PeerAddress, By: vm.ID}
+	}
+	select {
+	case r := <-answered:
+		if r.err != nil {
+			s.logger.Info("no answer from the leader", "request", a.RequestID, "service", a.Service, "leader", vm.ID, "error", r.err)
+			s.forget(c.Leader, c.Boot)
+			return Slot{}, false
+		}
+		return slot(r), r.reply.Leads
+	case <-ctx.Done():
+		go func() {
+			if r := <-answered; r.err == nil && r.reply.Decision.Lent {
+				s.Return(slot(r), lending.Usage{Result: lending.Unused})
+			}
+		}()
+		return Slot{}, false
+	}
+}
+
+// forget treats a leader as silent until it answers again.
+func (s *Service) forget(id, boot string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[id+boot] = min(s.heard[id+boot], s.clock.Now()-silence)
+}
+
+func (s *Service) lendAlone(ctx context.Context, a LendArgs) (Slot, error) {
+	s.solo.Inc(1)
+	s.mu.Lock()
+	d := s.solos[a.Service]
+	if d == nil {
+		d = newDesk(s, a.Service, soloConfig())
+		d.coldShare = 1 / float64(max(1, len(s.view.VMs())))
+		s.solos[a.Service] = d
+	}
+	s.mu.Unlock()
+	dec, err := d.ask(ctx, a)
+	return Slot{Decision: dec, service: a.Service, desk: d, By: s.self.ID}, err
+}
+
+// Return ends the use of a slot.
+func (s *Service) Return(slot Slot, u lending.Usage) {
+	u.ID = slot.ID
+	if slot.desk != nil {
+		slot.desk.giveBack(u)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, returnTimeout)
+		defer cancel()
+		err := s.peers.Call(ctx, slot.leader, RPCName+".Return", ReturnArgs{Service: slot.service, Usage: u}, &struct{}{})
+		if err != nil && !errors.Is(err, context.Canceled) {
+			s.logger.Info("the end of a request was not reported", "leader", slot.By, "service", slot.service, "error", err)
+		}
+	}()
+}
--- /dev/null
+++ b/node/cell/messages.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/quarantine"
+	"github.com/mangogate/mangogate/node/view"
+)
+
+// RPCName is the name under which a VM serves the calls of this package.
+const RPCName = "Cell"
+
+// LendArgs asks a leader for a slot. Times are relative, since clocks differ.
+type LendArgs struct {
+	Service    string
+	VM         string
+	RequestID  string // of the caller, for the log
+	DataCentre string
+	Route      string
+	Priority   int
+	Idempotent bool
+	Age        time.Duration // since the caller's request arrived
+	Objective  time.Duration // left until the answer is worth less
+	Deadline   time.Duration // left until nobody waits
+	Key        int
+	Repeat     bool
+	Avoid      string
+	Print      quarantine.Fingerprint
+}
+
+// LendReply is the leader's decision.
+type LendReply struct {
+	Decision lending.Decision
+	// Leads is false if the VM does not lead the cell; nothing was decided.
+	Leads bool
+}
+
+// ReturnArgs ends a loan.
+type ReturnArgs struct {
+	Service string
+	Usage   lending.Usage
+}
+
+// SyncArgs tells a VM what the caller knows.
+type SyncArgs struct {
+	VM   string
+	Ends [3]int64
+}
+
+// SyncReply is what the VM knows beyond that.
+type SyncReply struct {
+	Boot  string
+	Batch view.Batch
+	Leads []string // services whose cells the VM leads
+}
+
+// HeardArgs asks whether a VM heard a leader lately.
+type HeardArgs struct{ Leader, Boot string }
+
+// HeardReply is the answer.
+type HeardReply struct{ Lately bool }
--- /dev/null
+++ b/node/cell/service.go
@@ -0,0 +1,348 @@
+// Package cell runs the cells of a VM. A cell is a service of targets with one
+// leader among the VMs, agreed on through the store. The leader lends the
+// slots of the targets to all VMs and, if the targets hold keys, grants these.
+// A VM that reaches no leader lends to itself, within a small share.
+package cell
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Name is the module name of Service.
+const Name = "cell.service"
+
+const (
+	// syncPause is the pause between two exchanges with a leader.
+	syncPause   = 250 * time.Millisecond
+	syncTimeout = 400 * time.Millisecond
+	// silence is how long a leader is not heard until it is replaced. Grants
+	// last 3 s, so that keys stay held meanwhile.
+	silence = 800 * time.Millisecond
+	// rankPause spreads the VMs that could replace a leader.
+	rankPause = 250 * time.Millisecond
+	maxRank   = 6 // ranks that wait longer than the first
+	// isolation is how much longer a VM waits that hears no other VM: it may be
+	// the one that is cut off.
+	isolation = 2 * time.Second
+	// watchPause is the pause between two looks at the cells.
+	watchPause = 100 * time.Millisecond
+	// opinions is how many VMs are asked whether they hear a leader.
+	opinions = 3
+)
+
+// Service is the module.
+type Service struct {
+	self    fleet.VM
+	view    *view.View
+	store   view.Store
+	orders  Orders
+	clock   *clock.Clock
+	peers   *peer.Client
+	logger  hclog.Logger
+	lastID  atomic.Uint64
+	claims  metrics.Counter
+	solo    metrics.Counter
+	stopped context.CancelFunc
+	ctx     context.Context
+	wg      sync.WaitGroup
+
+	mu       sync.Mutex
+	leads    map[string]*lead
+	solos    map[string]*desk
+	claiming map[string]bool
+	heard    map[string]time.Duration // leader's process to the time of its last answer
+	quietAt  map[string]time.Duration // service to the time since when its leader is silent
+	cellSeen map[string]*fleet.Cell
+	leaving  bool
+}
+
+// Config assembles a Service.
+type Config struct {
+	Self     fleet.VM
+	View     *view.View
+	Store    view.Store
+	Orders   Orders
+	Clock    *clock.Clock
+	Peers    *peer.Client
+	Server   *peer.Server
+	Logger   hclog.Logger
+	Registry metrics.Registry
+}
+
+// New returns a service and registers its calls.
+func New(c Config) (*Service, error) {
+	s := &Service{
+		self: c.Self, view: c.View, store: c.Store, orders: c.Orders, clock: c.Clock, peers: c.Peers, logger: c.Logger,
+		claims: metrics.GetOrRegisterCounter("cell.claims", c.Registry),
+		solo:   metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
+		leads:  map[string]*lead{}, solos: map[string]*desk{}, claiming: map[string]bool{},
+		heard: map[string]time.Duration{}, quietAt: map[string]time.Duration{}, cellSeen: map[string]*fleet.Cell{},
+	}
+	s.ctx, s.stopped = context.WithCancel(context.Background())
+	return s, c.Server.Register(RPCName, &handler{s})
+}
+
+// Name implements kernel.Module.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Starter.
+func (s *Service) Start(context.Context) error {
+	s.wg.Add(2)
+	go s.watch()
+	go s.syncLoop()
+	return nil
+}
+
+// Stop implements kernel.Stopper.
+func (s *Service) Stop(context.Context) error {
+	s.stopped()
+	s.mu.Lock()
+	leads := make([]*lead, 0, len(s.leads))
+	for _, l := range s.leads {
+		leads = append(leads, l)
+	}
+	s.mu.Unlock()
+	for _, l := range leads {
+		l.cancel()
+		<-l.done
+	}
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Service) watch() {
+	defer s.wg.Done()
+	for s.ctx.Err() == nil {
+		if cfg, _ := s.view.Config(); cfg != nil && s.view.Ready() {
+			for _, svc := range cfg.Services {
+				s.lookAt(svc)
+			}
+			s.tickSolos()
+		}
+		time.Sleep(watchPause)
+	}
+}
+
+// lookAt starts, stops or claims the leadership of one cell.
+func (s *Service) lookAt(svc fleet.Service) {
+	c, number := s.view.Cell(svc.Name)
+	mine := c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot
+	s.mu.Lock()
+	l, leads := s.leads[svc.Name]
+	busy := s.claiming[svc.Name] || s.leaving
+	s.mu.Unlock()
+	switch {
+	case leads && !mine:
+		s.end(svc.Name, l, "another VM leads the cell")
+	case leads || busy:
+	case mine:
+		m, _ := s.inherit(svc, true)
+		s.begin(svc.Name, m, number)
+	case s.shouldClaim(svc.Name, c):
+		s.mu.Lock()
+		s.claiming[svc.Name] = true
+		s.mu.Unlock()
+		go s.tryClaim(svc, c)
+	}
+}
+
+func (s *Service) tryClaim(svc fleet.Service, seen *fleet.Cell) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.claiming, svc.Name)
+		delete(s.quietAt, svc.Name)
+		s.mu.Unlock()
+	}()
+	if seen != nil && s.othersHear(seen) {
+		s.logger.Info("did not claim a cell: another VM hears its leader", "service", svc.Name, "leader", seen.Leader)
+		return
+	}
+	if err := s.claim(s.ctx, svc, seen); err != nil {
+		s.logger.Info("claim failed", "service", svc.Name, "error", err)
+		return
+	}
+	s.claims.Inc(1)
+}
+
+func (s *Service) begin(service string, m *keyspace.Manager, number int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving || s.ctx.Err() != nil {
+		return
+	}
+	l := s.newLead(service, m)
+	ctx, cancel := context.WithCancel(s.ctx)
+	l.cancel = cancel
+	s.leads[service] = l
+	s.logger.Info("leads a cell", "service", service, "number", number)
+	go l.run(ctx)
+}
+
+func (s *Service) end(service string, l *lead, why string) {
+	l.cancel()
+	<-l.done
+	s.mu.Lock()
+	delete(s.leads, service)
+	s.mu.Unlock()
+	s.logger.Info("no longer leads a cell", "service", service, "why", why)
+}
+
+// shouldClaim tells whether a cell without a heard leader is this VM's to take.
+func (s *Service) shouldClaim(service string, c *fleet.Cell) bool {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended := false
+	if c != nil {
+		if now-s.heard[c.Leader+c.Boot] < silence {
+			delete(s.quietAt, service)
+			return false
+		}
+		ended = s.processEnded(c.Leader, c.Boot)
+	}
+	if s.cellSeen[service] != c { // a new leader gets its time to be heard
+		s.cellSeen[service] = c
+		s.quietAt[service] = now
+	}
+	since, ok := s.quietAt[service]
+	if !ok {
+		since = now
+		s.quietAt[service] = now
+	}
+	wait := time.Duration(s.rank(service, c)) * rankPause
+	if !ended {
+		wait += silence / 2
+	}
+	if !s.hearsAnyone(now) && len(s.view.VMs()) > 1 && c != nil {
+		wait += isolation
+	}
+	return now-since >= wait
+}
+
+// hearsAnyone tells whether any other VM has answered lately. It is called
+// with mu held.
+func (s *Service) hearsAnyone(now time.Duration) bool {
+	for _, at := range s.heard {
+		if now-at < 2*silence {
+			return true
+		}
+	}
+	return false
+}
+
+// rank returns this VM's place among those that could lead a service. The VM
+// whose leadership ended comes last.
+func (s *Service) rank(service string, c *fleet.Cell) int {
+	mine, rank := score(service, s.self.ID), 0
+	for _, vm := range s.view.VMs() {
+		if vm.ID == s.self.ID || c != nil && vm.ID == c.Leader {
+			continue
+		}
+		if other := score(service, vm.ID); other > mine || other == mine && vm.ID > s.self.ID {
+			rank++
+		}
+	}
+	return min(rank, maxRank)
+}
+
+// score orders the VMs for a service so that the cells are spread.
+func score(service, vm string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(service + "/" + vm)) // a hash does not fail
+	// The low bits of FNV differ little between similar names; mix them.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// othersHear asks some VMs whether they hear a leader that this VM does not.
+func (s *Service) othersHear(c *fleet.Cell) bool {
+	if s.processEnded(c.Leader, c.Boot) {
+		return false
+	}
+	vms := slices.DeleteFunc(s.view.VMs(), func(vm fleet.VM) bool { return vm.ID == s.self.ID || vm.ID == c.Leader })
+	slices.SortFunc(vms, func(a, b fleet.VM) int {
+		if score(s.self.Boot, a.ID) < score(s.self.Boot, b.ID) {
+			return -1
+		}
+		return 1
+	})
+	vms = vms[:min(opinions, len(vms))]
+	answers := make(chan bool, len(vms))
+	for _, vm := range vms {
+		go func() {
+			ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
+			defer cancel()
+			var reply HeardReply
+			err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Heard", HeardArgs{Leader: c.Leader, Boot: c.Boot}, &reply)
+			answers <- err == nil && reply.Lately
+		}()
+	}
+	for range vms {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// heardLately tells whether a leader's process has answered this VM lately.
+func (s *Service) heardLately(id, boot string) bool {
+	if id == s.self.ID {
+		return boot == s.self.Boot
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.heard[id+boot]
+	return ok && s.clock.Now()-at < silence
+}
+
+func (s *Service) tickSolos() {
+	s.mu.Lock()
+	desks := make([]*desk, 0, len(s.solos))
+	for _, d := range s.solos {
+		desks = append(desks, d)
+	}
+	s.mu.Unlock()
+	for _, d := range desks {
+		d.tick()
+	}
+}
+
+// Leads tells whether this VM leads any cell.
+func (s *Service) Leads() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.leads) > 0
+}
+
+// Reads tells whether this VM leads the first cell, by name, that has a
+// leader: it reads the store for the others.
+func (s *Service) Reads() bool {
+	cfg, _ := s.view.Config()
+	if cfg == nil {
+		return true
+	}
+	first := ""
+	for _, svc := range cfg.Services {
+		if c, _ := s.view.Cell(svc.Name); c != nil && (first == "" || svc.Name < first) {
+			first = svc.Name
+		}
+	}
+	return first == "" || s.leadOf(first) != nil
+}
--- /dev/null
+++ b/node/router/router.go
@@ -0,0 +1,103 @@
+// Package router assembles the modules of one VM that runs on the store: the
+// view and its feed, the cells, and the gateway of the callers.
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/node/cell"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/feed"
+	"github.com/mangogate/mangogate/node/gateway"
+	"github.com/mangogate/mangogate/node/kernel"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/upstream"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const bootIDBytes = 6
+
+// Settings are what a VM needs to know before it reads the store.
+type Settings struct {
+	VM         string
+	DataCentre string
+	Callers    string // address for callers
+	Readiness  string // address of the load balancer's checks
+	Peers      string // address for other VMs
+	PeerKey    []byte
+	Grace      time.Duration // from SIGTERM to the end
+	Notice     time.Duration // from SIGTERM until new connections are refused
+}
+
+// Adapter connects a router to the platform that it runs on.
+type Adapter interface {
+	Store(local *net.TCPAddr, logger hclog.Logger) view.Store
+	Orders(targets *upstream.Client) cell.Orders
+	Wire() gateway.Wire
+}
+
+// Router is one VM's process.
+type Router struct {
+	kernel   *kernel.Kernel
+	logger   hclog.Logger
+	Registry metrics.Registry
+}
+
+// New assembles a router.
+func New(s Settings, a Adapter, logger hclog.Logger) (*Router, error) {
+	boot := make([]byte, bootIDBytes)
+	if _, err := rand.Read(boot); err != nil {
+		return nil, errors.Wrap(err, "create boot id")
+	}
+	r := &Router{kernel: kernel.New(), logger: logger, Registry: metrics.NewRegistry()}
+	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Boot: hex.EncodeToString(boot)}
+	return r, r.assemble(s, self, a)
+}
+
+func (r *Router) assemble(s Settings, self fleet.VM, a Adapter) error {
+	local := peer.Source(s.Peers)
+	c := clock.New()
+	v := view.New(c.Now, r.logger.Named("view"))
+	store := a.Store(local, r.logger.Named("store"))
+	server := peer.NewServer(s.Peers, s.PeerKey, nil, r.logger.Named("peer"), r.Registry)
+	client := peer.NewClient(s.PeerKey, nil, r.Registry)
+	client.LocalAddr = local
+	cells, err := cell.New(cell.Config{
+		Self: self, View: v, Store: store, Orders: a.Orders(r.targets(local)), Clock: c, Peers: client, Server: server,
+		Logger: r.logger.Named("cell"), Registry: r.Registry,
+	})
+	if err != nil {
+		return err
+	}
+	g := gateway.New(gateway.Config{
+		VM: self, Wire: a.Wire(), View: v, Cells: cells, Targets: r.targets(local), Clock: c,
+		Logger: r.logger.Named("gateway"), Registry: r.Registry,
+	})
+	drain := func() gateway.Drain { return gateway.Drain{Notice: s.Notice, Grace: s.Grace} }
+	return r.kernel.Register(
+		server, client,
+		feed.New(self, v, store, c, cells, r.logger.Named("feed"), r.Registry),
+		cells,
+		gateway.NewListener(g, s.Callers, s.Readiness, drain),
+	)
+}
+
+func (r *Router) targets(local *net.TCPAddr) *upstream.Client {
+	d := net.Dialer{KeepAlive: time.Second, Control: peer.SetUserTimeout}
+	peer.Bind(&d, local)
+	return upstream.New(d, r.Registry)
+}
+
+// Start starts all modules.
+func (r *Router) Start(ctx context.Context) error { return r.kernel.Start(ctx) }
+
+// Stop finishes the requests of callers and stops all modules.
+func (r *Router) Stop(ctx context.Context) error { return r.kernel.Stop(ctx) }
--- /dev/null
+++ b/node/view/view.go
@@ -0,0 +1,312 @@
+// Package view holds what a VM knows of the deployment. The knowledge comes
+// from three logs of the store, read by the VM itself or passed on by another
+// VM; a change with a lower offset never replaces one with a higher offset.
+package view
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+)
+
+// Log is one of the logs that the view is made of.
+type Log int
+
+// The logs.
+const (
+	Operators Log = iota // configuration and data centres taken out of service
+	Targets              // what targets say of themselves
+	System               // what the VMs keep
+	numLogs
+)
+
+// Logs lists all logs.
+var Logs = []Log{Operators, Targets, System}
+
+// String returns the log's name.
+func (l Log) String() string {
+	return [...]string{"operators", "targets", "system"}[l]
+}
+
+// Change is a new value of one key of a log. At most one of the pointers is
+// set; none is set when the key is gone or its value could not be read.
+type Change struct {
+	Log    Log
+	Key    string
+	Offset int64
+	Age    time.Duration // since the VM that read it did so
+	Config *fleet.Config
+	OutOf  string // data centre that is taken out of service
+	Target *fleet.Target
+	VM     *fleet.VM
+	Cell   *fleet.Cell
+}
+
+func (c *Change) gone() bool {
+	return c.Config == nil && c.OutOf == "" && c.Target == nil && c.VM == nil && c.Cell == nil
+}
+
+// Position is how far a log was read.
+type Position struct {
+	End int64         // offset after the last record that was read
+	Age time.Duration // since the log was read up to there
+}
+
+// Batch is a part of the view, as VMs pass it to each other.
+type Batch struct {
+	Changes   []Change
+	Positions [numLogs]Position
+}
+
+type entry struct {
+	Change
+	latest int64 // offset of the last record of the key, which may repeat the value
+	seenAt time.Duration
+}
+
+// View is safe for concurrent use.
+type View struct {
+	now    func() time.Duration
+	logger hclog.Logger
+
+	mu      sync.RWMutex
+	entries [numLogs]map[string]*entry
+	ends    [numLogs]int64
+	freshAt [numLogs]time.Duration
+	known   [numLogs]bool
+	version uint64 // counts the changes of anything
+	config  *fleet.Config
+	table   *fleet.Table
+	changed chan struct{}
+	// graceUntil is the end of the time in which targets whose entries went
+	// during an outage of the store may come back.
+	graceUntil time.Duration
+	missing    map[string]*entry // targets without an entry, in grace
+	coldDC     map[string]time.Duration
+	// lastAddress keeps the addresses of targets without an entry, which may
+	// still hold keys.
+	lastAddress map[string]string
+}
+
+// New returns an empty view. Now reads a clock that counts suspended time.
+func New(now func() time.Duration, logger hclog.Logger) *View {
+	v := &View{now: now, logger: logger, changed: make(chan struct{}), missing: map[string]*entry{},
+		coldDC: map[string]time.Duration{}, lastAddress: map[string]string{}}
+	for i := range v.entries {
+		v.entries[i] = map[string]*entry{}
+	}
+	return v
+}
+
+// Ready tells whether the operators' configuration and the targets are known.
+func (v *View) Ready() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.config != nil && v.known[Targets] && v.known[System]
+}
+
+// Config returns the configuration in force and its routes, or nil.
+func (v *View) Config() (*fleet.Config, *fleet.Table) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.config, v.table
+}
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() (version uint64, changed <-chan struct{}) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.version, v.changed
+}
+
+// End returns the offset up to which a log is known.
+func (v *View) End(l Log) int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.ends[l]
+}
+
+// Ends returns the offsets up to which the logs are known.
+func (v *View) Ends() [numLogs]int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.ends
+}
+
+// Staleness returns how long ago a log was known to its end.
+func (v *View) Staleness(l Log) time.Duration {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if !v.known[l] {
+		return 1 << 62
+	}
+	return v.now() - v.freshAt[l]
+}
+
+// Apply takes changes of one log that was read up to end by a call that began
+// at a reading of the clock.
+func (v *View) Apply(l Log, changes []Change, end int64, began time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.apply(changes)
+	v.advance(l, end, began)
+}
+
+// Replace takes the newest values of all keys of a log. Keys that are not
+// among them are gone, unless the view already knows the log further.
+func (v *View) Replace(l Log, changes []Change, end int64, began time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if end >= v.ends[l] {
+		named := make(map[string]bool, len(changes))
+		for _, c := range changes {
+			named[c.Key] = true
+		}
+		for key, e := range v.entries[l] {
+			if !named[key] && !e.gone() {
+				changes = append(changes, Change{Log: l, Key: key, Offset: end - 1})
+			}
+		}
+	}
+	v.apply(changes)
+	v.advance(l, end, began)
+}
+
+func (v *View) advance(l Log, end int64, began time.Duration) {
+	if end >= v.ends[l] {
+		v.ends[l] = end
+		v.freshAt[l] = max(v.freshAt[l], began)
+		v.known[l] = true
+	}
+}
+
+func (v *View) apply(changes []Change) {
+	now, any := v.now(), false
+	for _, c := range changes {
+		old := v.entries[c.Log][c.Key]
+		if old != nil && old.latest >= c.Offset {
+			continue
+		}
+		e := &entry{Change: c, latest: c.Offset, seenAt: now - c.Age}
+		if v.sameTarget(old, e) {
+			old.latest = c.Offset
+			continue
+		}
+		v.entries[c.Log][c.Key] = e
+		v.note(old, e, now)
+		any = true
+	}
+	if any {
+		v.version++
+		close(v.changed)
+		v.changed = make(chan struct{})
+	}
+}
+
+// sameTarget tells whether a target only repeats what it said before.
+func (v *View) sameTarget(old, e *entry) bool {
+	return old != nil && old.Target != nil && e.Target != nil && *old.Target == *e.Target && e.Target.ColdFor == 0
+}
+
+// note logs a change of what the process believes and updates what follows from it.
+func (v *View) note(old, e *entry, now time.Duration) {
+	switch {
+	case e.Config != nil:
+		v.setConfig(e.Config)
+	case e.Log == Operators && old != nil && old.OutOf != "" && e.gone():
+		v.coldDC[old.OutOf] = now
+		v.logger.Info("data centre is back in service", "data_centre", old.OutOf, "offset", e.Offset)
+	case e.OutOf != "":
+		v.logger.Info("data centre is taken out of service", "data_centre", e.OutOf, "offset", e.Offset)
+	case e.Log == Targets:
+		v.noteTarget(old, e, now)
+	case e.Cell != nil:
+		v.logger.Info("cell record", "service", e.Cell.Service, "leader", e.Cell.Leader, "boot", e.Cell.Boot, "ranges", len(e.Cell.Keys), "offset", e.Offset)
+	case e.VM != nil:
+		v.logger.Info("vm record", "vm", e.VM.ID, "boot", e.VM.Boot, "peer", e.VM.PeerAddress, "offset", e.Offset)
+	}
+}
+
+func (v *View) setConfig(c *fleet.Config) {
+	if v.config != nil && c.Version <= v.config.Version {
+		return
+	}
+	v.config, v.table = c, fleet.NewTable(c)
+	v.logger.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services))
+}
+
+func (v *View) noteTarget(old, e *entry, now time.Duration) {
+	delete(v.missing, e.Key)
+	switch {
+	case e.Target != nil:
+		if old == nil || old.Target == nil || old.Target.Life != e.Target.Life || old.Target.Leaving != e.Target.Leaving {
+			t := e.Target
+			v.logger.Info("target", "target", t.ID, "service", t.Service, "address", t.Address, "data_centre", t.DataCentre,
+				"life", t.Life, "leaving", t.Leaving, "cold_for", t.ColdFor, "offset", e.Offset)
+		}
+	case old != nil && old.Target != nil:
+		v.logger.Info("target is gone", "target", old.Target.ID, "service", old.Target.Service, "offset", e.Offset, "grace", now < v.graceUntil)
+		v.lastAddress[old.Target.ID] = old.Target.Address
+		if now < v.graceUntil {
+			v.missing[e.Key] = old
+		}
+	}
+}
+
+// OutageEnded says that the store answers again after an outage. Entries that
+// lapsed meanwhile have some time to come back.
+func (v *View) OutageEnded(grace time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.graceUntil = v.now() + grace
+}
+
+// Since returns what another VM that knows the logs up to ends does not know.
+func (v *View) Since(ends [numLogs]int64) Batch {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var b Batch
+	now := v.now()
+	for l := range numLogs {
+		b.Positions[l] = Position{End: v.ends[l], Age: now - v.freshAt[l]}
+		if !v.known[l] {
+			b.Positions[l] = Position{}
+			continue
+		}
+		for _, e := range v.entries[l] {
+			if e.Offset >= ends[l] {
+				c := e.Change
+				c.Age = now - e.seenAt
+				b.Changes = append(b.Changes, c)
+			}
+		}
+	}
+	slices.SortFunc(b.Changes, func(a, b Change) int { return int(a.Offset - b.Offset) })
+	return b
+}
+
+// Merge takes what another VM knows. Since was asked for the ends that this VM
+// had then.
+func (v *View) Merge(b Batch, asked [numLogs]int64, elapsed time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.now()
+	for l := range numLogs {
+		if b.Positions[l].End == 0 && !v.known[l] || asked[l] > v.ends[l] {
+			continue
+		}
+		var mine []Change
+		for _, c := range b.Changes {
+			if c.Log == l {
+				mine = append(mine, c)
+			}
+		}
+		v.apply(mine)
+		if b.Positions[l].End > 0 {
+			v.advance(l, b.Positions[l].End, now-elapsed-b.Positions[l].Age)
+		}
+	}
+}
