--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -8,10 +8,11 @@
 // callPause is the least time between two calls for a range whose last call failed.
 const callPause = 150 * time.Millisecond
 
-// Step returns the calls that are due. Alive tells whether a holder may still
+// Step returns the calls that are due. MayRun tells whether a holder may still
 // run; one that does not is known to hold nothing.
-func (m *Manager) Step(now time.Duration, alive func(Holder) bool) []Action {
+func (m *Manager) Step(now time.Duration, mayRun func(Holder) bool) []Action {
 	var out []Action
+	alive := func(h Holder) bool { return !m.ended[h] && mayRun(h) }
 	for _, p := range m.parts {
 		m.dropPrior(now, p, alive)
 		if a, ok := m.nextRelease(now, p); ok {
@@ -100,9 +101,12 @@
 }
 
 func (m *Manager) noteReach(now time.Duration, c *call, result CallResult) {
-	if result == Accepted || result == Superseded {
+	switch result {
+	case Accepted, Superseded:
 		delete(m.failing, c.Holder)
 		return
+	case Ended:
+		m.ended[c.Holder] = true
 	}
 	if _, since := m.failing[c.Holder]; !since {
 		m.failing[c.Holder] = now
@@ -125,6 +129,8 @@
 		p.until = max(now+cfg.held(), p.unsureTo)
 	case Superseded:
 		p.granted, p.outdone = false, true
+	case Ended:
+		p.granted = false
 	case NoAnswer, NotSent:
 		p.granted = p.granted && now < p.until
 	}
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -64,6 +64,7 @@
 	Superseded            // the target has seen a higher fence
 	NoAnswer              // may be carried out later
 	NotSent               // provably not received
+	Ended                 // another process has the address: the holder holds nothing
 )
 
 // Config holds the times of a Manager.
@@ -130,6 +131,7 @@
 	nextID  uint64
 	pending *proposal
 	failing map[Holder]time.Duration // since when calls to a target have no answer
+	ended   map[Holder]bool          // holders whose process is known to have ended
 }
 
 // proposal is a change that waits for the store.
@@ -138,7 +140,7 @@
 // New returns a manager of assignments that the store holds. An owner that the
 // previous manager may have granted keys to may hold them up to bound.
 func New(cfg Config, held []Assignment, bound time.Duration) *Manager {
-	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}}
+	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}, ended: map[Holder]bool{}}
 	for _, a := range held {
 		p := &part{Assignment: a, until: bound, unsureTo: bound, granted: true}
 		for _, h := range a.Prior {
@@ -226,5 +228,5 @@
 
 // String returns the result's name.
 func (r CallResult) String() string {
-	return [...]string{Accepted: "accepted", Superseded: "superseded", NoAnswer: "no-answer", NotSent: "not-sent"}[r]
+	return [...]string{Accepted: "accepted", Superseded: "superseded", NoAnswer: "no-answer", NotSent: "not-sent", Ended: "ended"}[r]
 }
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -52,10 +52,13 @@
 // is to change or a proposal is open. New owners have fence 0. The proposal
 // takes effect with Committed.
 func (m *Manager) Propose(now time.Duration, candidates []Candidate, load *Load) ([]Assignment, bool) {
-	if m.pending != nil || len(candidates) == 0 {
+	if m.pending != nil {
 		return nil, false
 	}
 	pl := newPlanner(m, now, candidates, load)
+	if len(pl.all) == 0 {
+		return nil, false
+	}
 	pl.refence()
 	pl.replaceOwners()
 	if !pl.change {
@@ -115,6 +118,9 @@
 func newPlanner(m *Manager, now time.Duration, candidates []Candidate, load *Load) *planner {
 	pl := &planner{m: m, now: now, load: load, state: map[Holder]*candidateState{}}
 	for _, c := range candidates {
+		if m.ended[c.Holder] {
+			continue
+		}
 		s := &candidateState{Candidate: c}
 		pl.state[c.Holder] = s
 		pl.all = append(pl.all, s)
