Carry renewals over to assignments that wait for the store

Ruled out: a second leader; both grants came from one. Change: a committed proposal inherits the open calls and hold times of the current assignments.

--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -97,6 +97,9 @@
 	if m.pending == nil {
 		return
 	}
+	for _, p := range m.pending.parts {
+		p.inherit(m.parts)
+	}
 	m.parts, m.pending = m.pending.parts, nil
 	for _, p := range m.parts {
 		if p.Fence == 0 && p.Owner.Target != "" {
@@ -105,6 +108,44 @@
 	}
 }
 
+// inherit takes over what happened to the keys of a part while it waited for
+// the store: renewals and releases went on.
+func (p *part) inherit(current []*part) {
+	p.calls = nil
+	for _, c := range current {
+		if c.To < p.From || c.From > p.To {
+			continue
+		}
+		for _, open := range c.calls {
+			if !open.done && !slices.Contains(p.calls, open) {
+				p.calls = append(p.calls, open)
+			}
+		}
+		if p.Owner == c.Owner {
+			p.until, p.unsureTo = max(p.until, c.until), max(p.unsureTo, c.unsureTo)
+			p.granted = p.granted && c.granted
+		}
+		if p.Owner == c.Owner && p.Fence == c.Fence {
+			p.granted, p.accepted, p.outdone = c.granted, c.accepted, c.outdone
+			p.sentAt, p.retryAt, p.handover = c.sentAt, c.retryAt, c.handover
+		}
+		for i := range p.prior {
+			p.prior[i].inherit(c)
+		}
+	}
+}
+
+func (h *priorHold) inherit(c *part) {
+	if h.Holder == c.Owner && h.Fence == c.Fence {
+		h.until, h.unsureTo = max(h.until, c.until), max(h.unsureTo, c.unsureTo)
+	}
+	for _, same := range c.prior {
+		if same.Hold == h.Hold {
+			h.until, h.unsureTo = max(h.until, same.until), max(h.unsureTo, same.unsureTo)
+		}
+	}
+}
+
 // Rejected drops the open proposal.
 func (m *Manager) Rejected() { m.pending = nil }
 
@@ -231,7 +272,7 @@
 	}
 	to.load += load
 	to.parts++
-	if p.Owner.Target != "" && (p.until > pl.now || p.open(p.Owner)) {
+	if p.Owner.Target != "" && p.Fence != 0 {
 		p.prior = append(p.prior, priorHold{
 			Hold: Hold{Holder: p.Owner, Fence: p.Fence}, until: p.until, unsureTo: p.unsureTo,
 		})
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -7,46 +7,39 @@
 	"time"
 
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/node/view"
 )
 
-// syncLoop exchanges views with the leaders, or with any VM if there is none.
+// staleAfter is the age of what this VM knows from which on it asks a VM that
+// leads nothing: the store may turn this VM and all leaders away.
+const staleAfter = 600 * time.Millisecond
+
+// syncLoop exchanges views with the leaders, and with others when that is not
+// enough. An exchange that hangs does not hold up those with other VMs.
 func (s *Service) syncLoop() {
 	defer s.wg.Done()
+	var open sync.Map // VM ids
 	for s.ctx.Err() == nil {
-		var wg sync.WaitGroup
 		for _, vm := range s.partners() {
-			wg.Add(1)
+			if _, busy := open.LoadOrStore(vm.ID, true); busy {
+				continue
+			}
 			go func() {
-				defer wg.Done()
+				defer open.Delete(vm.ID)
 				s.syncWith(vm)
 			}()
 		}
-		wg.Wait()
 		time.Sleep(syncPause)
 	}
 }
 
 // partners returns the leaders, each once, and another VM while a cell has no
-// leader that is heard.
+// leader that is heard or while what this VM knows is old.
 func (s *Service) partners() []fleet.VM {
-	vms := s.view.VMs()
-	leaders := map[string]bool{}
-	missing := false
-	if cfg, _ := s.view.Config(); cfg != nil {
-		for _, svc := range cfg.Services {
-			c, _ := s.view.Cell(svc.Name)
-			if c == nil || !s.heardLately(c.Leader, c.Boot) {
-				missing = true
-			}
-			if c != nil {
-				leaders[c.Leader] = true
-			}
-		}
-	} else {
-		missing = true
-	}
+	leaders, wanting := s.leaders()
+	wanting = wanting || s.view.Staleness(view.Targets) > staleAfter || s.view.Staleness(view.Operators) > staleAfter
 	var out, others []fleet.VM
-	for _, vm := range vms {
+	for _, vm := range s.view.VMs() {
 		switch {
 		case vm.ID == s.self.ID:
 		case leaders[vm.ID]:
@@ -55,12 +48,31 @@
 			others = append(others, vm)
 		}
 	}
-	if missing && len(others) > 0 {
+	if wanting && len(others) > 0 {
 		out = append(out, others[rand.Intn(len(others))])
 	}
 	return out
 }
 
+// leaders returns the VMs that lead cells, and whether one of them is not heard.
+func (s *Service) leaders() (leaders map[string]bool, missing bool) {
+	cfg, _ := s.view.Config()
+	if cfg == nil {
+		return nil, true
+	}
+	leaders = map[string]bool{}
+	for _, svc := range cfg.Services {
+		c, _ := s.view.Cell(svc.Name)
+		if c == nil || !s.heardLately(c.Leader, c.Boot) {
+			missing = true
+		}
+		if c != nil {
+			leaders[c.Leader] = true
+		}
+	}
+	return leaders, missing
+}
+
 func (s *Service) syncWith(vm fleet.VM) {
 	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
 	defer cancel()
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -23,8 +23,8 @@
 	// readerAge is how old the knowledge of the reading VM may grow, and
 	// followerAge that of the others. Both, with the relay's pause, stay far
 	// below the 2 s in which changes have to be in force.
-	readerAge   = 400 * time.Millisecond
-	followerAge = 900 * time.Millisecond
+	readerAge   = 300 * time.Millisecond
+	followerAge = 800 * time.Millisecond
 	// systemAge is how old a leader's knowledge of the system's own log may
 	// grow: it confirms the leader's authority, which lasts 2.5 s.
 	systemAge         = 700 * time.Millisecond
