Choose large VMs as leaders, reuse connections, keep cold tokens at zero

Change: buckets of cold targets start empty; leaders are large VMs; a slot goes to a target that the VM has a connection to where times are alike; idle connections are kept 9.4 s; more moves a plan on many targets.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -79,6 +79,8 @@
 	DataCentre  string
 	PeerAddress string
 	Boot        string // new at each start of the process
+	// Cores is the processor time that the VM may use, in cores.
+	Cores float64
 }
 
 // Service returns the service of a name.
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -18,8 +18,10 @@
 	busyEnough = 0.45
 	// uneven is how much busier than the mean a target has to be.
 	uneven = 1.35
-	// movesPerPlan bounds the ranges that change hands at once.
+	// movesPerPlan and moveShare bound the ranges that change hands at once, the
+	// second as a share of the targets: a hot spot may need many of them.
 	movesPerPlan = 6
+	moveShare    = 0.3
 	// worthMoving is the least load, in slots, for which a range is cut.
 	worthMoving = 0.15
 	// manyParts is the mean number of ranges a target from which on neighbours
@@ -331,7 +333,7 @@
 		capacity += s.Capacity
 	}
 	mean := load / max(capacity, 0.01)
-	for range movesPerPlan {
+	for range max(movesPerPlan, int(moveShare*float64(len(pl.all)))) {
 		if !pl.fillEmpty(mean) && !pl.relieve(mean) {
 			return
 		}
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -20,7 +20,8 @@
 // Request asks for a slot. Times are readings of the lender's clock.
 type Request struct {
 	ID         uint64
-	DataCentre string // of the VM that sends
+	VM         string // that sends the request
+	DataCentre string // of that VM
 	Route      string
 	Priority   int // 0 is the most urgent
 	Idempotent bool
@@ -203,12 +204,15 @@
 		if t != nil {
 			l.noteCrash(now, t)
 		}
-		t = newTarget(info)
+		t = newTarget(now, info)
 		l.targets[info.ID] = t
 	}
 	if !t.usable && t.known {
 		t.slowness, t.failing = 1, 0
 	}
+	if info.ColdUntil > now && !t.cold(now) {
+		t.tokens, t.tokensAt = 0, now // what was saved up while warm does not count
+	}
 	t.TargetInfo, t.usable, t.known = info, true, true
 }
 
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -19,6 +19,11 @@
 	// crossingCost is added to the expected time at a target in another data
 	// centre, so that bytes stay in their data centre where times are alike.
 	crossingCost = 4 * time.Millisecond
+	// openCost is added to the expected time where a connection has to be
+	// opened: targets accept few of them, and a new one takes a slot for a while.
+	openCost = 12 * time.Millisecond
+	// connectionLife is about how long VMs keep idle connections.
+	connectionLife = 8 * time.Second
 	// failCost multiplies the expected time at a target that fails requests.
 	failCost = 4.0
 	// firstAvoidance and maxAvoidance bound how long a target that could not
@@ -43,14 +48,15 @@
 	known, usable bool
 	inFlight      int
 	slowness      float64 // work here relative to the mean of all targets
-	reported      float64 // slowdown as the target last reported it
 	failing       float64 // share of failed requests, 0 to 1
 	avoidUntil    time.Duration
 	avoidance     time.Duration
 	tokens        float64 // while cold
 	tokensAt      time.Duration
 	broken        []brokenLoan
-	oldestSent    time.Duration
+	// answered is when each VM last got an answer: it may still have an idle
+	// connection.
+	answered map[string]time.Duration
 }
 
 type brokenLoan struct {
@@ -61,8 +67,8 @@
 // routeStats is the mean work of a route's requests at a target of usual speed.
 type routeStats struct{ work time.Duration }
 
-func newTarget(info TargetInfo) *target {
-	return &target{TargetInfo: info, slowness: 1, reported: 1, tokens: 1}
+func newTarget(now time.Duration, info TargetInfo) *target {
+	return &target{TargetInfo: info, slowness: 1, tokensAt: now, answered: map[string]time.Duration{}}
 }
 
 func (l *Lender) expectedWork(route string) time.Duration {
@@ -154,6 +160,9 @@
 	if t.DataCentre != r.DataCentre {
 		at += float64(crossingCost)
 	}
+	if last, ok := t.answered[r.VM]; !ok || now > last+connectionLife {
+		at += float64(openCost)
+	}
 	if t.ID == r.Avoid {
 		at *= failCost
 	}
@@ -169,6 +178,7 @@
 	case Answered, Failed:
 		l.learnWork(n, u)
 		t.avoidance = 0
+		t.answered[n.VM] = now
 		t.noteFailure(u.Result == Failed)
 	case Shed:
 		t.avoidUntil = max(t.avoidUntil, now+shedPause)
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -81,7 +81,7 @@
 		d.load.Add(a.Key, d.lender.ExpectedWork(a.Route))
 	}
 	d.lender.Ask(now, lending.Request{
-		ID: id, DataCentre: a.DataCentre, Route: a.Route, Priority: a.Priority, Idempotent: a.Idempotent,
+		ID: id, VM: a.VM, DataCentre: a.DataCentre, Route: a.Route, Priority: a.Priority, Idempotent: a.Idempotent,
 		Arrived: now - a.Age, Objective: now + a.Objective, Deadline: now + a.Deadline,
 		Key: a.Key, Repeat: a.Repeat, Avoid: a.Avoid, Print: a.Print,
 	})
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -243,21 +243,36 @@
 	return false
 }
 
-// rank returns this VM's place among those that could lead a service. The VM
-// whose leadership ended comes last.
+// rank returns this VM's place among those that could lead a service: large
+// VMs come first, since a leader works for all others. The VM whose leadership
+// ended comes last.
 func (s *Service) rank(service string, c *fleet.Cell) int {
-	mine, rank := score(service, s.self.ID), 0
-	for _, vm := range s.view.VMs() {
-		if vm.ID == s.self.ID || c != nil && vm.ID == c.Leader {
-			continue
-		}
-		if other := score(service, vm.ID); other > mine || other == mine && vm.ID > s.self.ID {
+	vms := s.view.VMs()
+	large := 0.0
+	for _, vm := range vms {
+		large = max(large, vm.Cores*largeShare)
+	}
+	rank := 0
+	for _, vm := range vms {
+		if vm.ID != s.self.ID && (c == nil || vm.ID != c.Leader) && goesBefore(service, vm, s.self, large) {
 			rank++
 		}
 	}
 	return min(rank, maxRank)
 }
 
+// largeShare is the share of the largest VM's processor time from which on a
+// VM counts as large.
+const largeShare = 0.5
+
+func goesBefore(service string, a, b fleet.VM, large float64) bool {
+	if aLarge, bLarge := a.Cores >= large, b.Cores >= large; aLarge != bLarge {
+		return aLarge
+	}
+	mine, other := score(service, b.ID), score(service, a.ID)
+	return other > mine || other == mine && a.ID > b.ID
+}
+
 // score orders the VMs for a service so that the cells are spread.
 func score(service, vm string) uint64 {
 	h := fnv.New64a()
@@ -336,7 +351,7 @@
 func (s *Service) Reads() bool {
 	cfg, _ := s.view.Config()
 	if cfg == nil {
-		return true
+		return false
 	}
 	first := ""
 	for _, svc := range cfg.Services {
@@ -344,5 +359,5 @@
 			first = svc.Name
 		}
 	}
-	return first == "" || s.leadOf(first) != nil
+	return first != "" && s.leadOf(first) != nil
 }
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -25,6 +25,8 @@
 	// below the 2 s in which changes have to be in force.
 	readerAge   = 300 * time.Millisecond
 	followerAge = 800 * time.Millisecond
+	// startAge holds before there is a configuration: all VMs wait for it.
+	startAge = 1500 * time.Millisecond
 	// systemAge is how old a leader's knowledge of the system's own log may
 	// grow: it confirms the leader's authority, which lasts 2.5 s.
 	systemAge         = 700 * time.Millisecond
@@ -142,6 +144,8 @@
 		return followerSystemAge
 	case f.roles.Reads():
 		return readerAge
+	case !f.view.Ready():
+		return startAge
 	}
 	return followerAge
 }
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -29,9 +29,10 @@
 type Settings struct {
 	VM         string
 	DataCentre string
-	Callers    string // address for callers
-	Readiness  string // address of the load balancer's checks
-	Peers      string // address for other VMs
+	Cores      float64 // processor time that the VM may use
+	Callers    string  // address for callers
+	Readiness  string  // address of the load balancer's checks
+	Peers      string  // address for other VMs
 	PeerKey    []byte
 	Grace      time.Duration // from SIGTERM to the end
 	Notice     time.Duration // from SIGTERM until new connections are refused
@@ -58,7 +59,7 @@
 		return nil, errors.Wrap(err, "create boot id")
 	}
 	r := &Router{kernel: kernel.New(), logger: logger, Registry: metrics.NewRegistry()}
-	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Boot: hex.EncodeToString(boot)}
+	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Cores: s.Cores, Boot: hex.EncodeToString(boot)}
 	return r, r.assemble(s, self, a)
 }
 
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -17,8 +17,9 @@
 	epoch    int
 	reader   *bufio.Reader
 	lastUsed time.Time
-	sent     bool // some of the current request
-	broken   bool // must not be used again
+	keepFor  time.Duration // longest idle time
+	sent     bool          // some of the current request
+	broken   bool          // must not be used again
 	closed   atomic.Bool
 }
 
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,8 +26,10 @@
 	// dialTimeout is several round trips between data centres; a target in
 	// reach answers at once.
 	dialTimeout = 400 * time.Millisecond
-	// idleKeep is below the 10 s after which targets close idle connections.
-	idleKeep = 8 * time.Second
+	// idleKeep is below the 10 s after which targets close idle connections,
+	// and idleMargin below the time that a target states itself.
+	idleKeep   = 9400 * time.Millisecond
+	idleMargin = 600 * time.Millisecond
 	// writeIdleKeep is how long an idle connection is trusted with a request
 	// that may run only once: a target may have forgotten it.
 	writeIdleKeep = 2 * time.Second
@@ -156,7 +159,7 @@
 			break
 		}
 		age := time.Since(cn.lastUsed)
-		if age < idleKeep && (!r.Once || age < writeIdleKeep) && cn.quiet() {
+		if age < cn.keepFor && (!r.Once || age < writeIdleKeep) && cn.quiet() {
 			cn.sent = false
 			return cn, nil
 		}
@@ -170,7 +173,7 @@
 		return nil, err
 	}
 	c.opened.Inc(1)
-	return &conn{Conn: raw, address: r.Address, epoch: epoch, reader: bufio.NewReader(raw)}, nil
+	return &conn{Conn: raw, address: r.Address, epoch: epoch, keepFor: idleKeep, reader: bufio.NewReader(raw)}, nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
@@ -205,7 +208,7 @@
 	var old []*conn
 	for address, list := range c.idle {
 		n := 0
-		for n < len(list) && time.Since(list[n].lastUsed) >= idleKeep {
+		for n < len(list) && time.Since(list[n].lastUsed) >= list[n].keepFor {
 			n++
 		}
 		old = append(old, list[:n]...)
@@ -292,11 +295,24 @@
 			}
 		default:
 			cn.broken = cn.broken || resp.Close || unframed(resp)
+			cn.keepFor = keepFor(resp.Header)
 			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(began)}, nil
 		}
 	}
 }
 
+// keepFor returns how long a connection may stay idle, from the timeout that
+// the answer states, if any.
+func keepFor(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if sec, err := strconv.Atoi(value); err == nil && name == "timeout" {
+			return min(idleKeep, time.Duration(sec)*time.Second-idleMargin)
+		}
+	}
+	return idleKeep
+}
+
 // unframed tells whether only the end of the connection ends the body.
 func unframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
