Bound the log, serve metrics, reload settings; queue by owner; one RPC connection a peer

Change: budgets for log lines before they are encoded, exchanges of views as the only probe, a queue an owner, slower repeats of releases.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// callPause is the least time between two calls for a range whose last call failed.
-const callPause = 150 * time.Millisecond
+// callPause is the least time between two calls for a range whose last call
+// failed, and releasePause that between two releases: a holder that does not
+// answer is waited out, so that calling it often gains little.
+const (
+	callPause    = 150 * time.Millisecond
+	releasePause = time.Second
+)
 
 // Step returns the calls that are due. MayRun tells whether a holder may still
 // run; one that does not is known to hold nothing.
@@ -51,7 +56,7 @@
 		if h.released || now < h.retryAt || p.open(h.Holder) {
 			continue
 		}
-		h.retryAt = now + callPause
+		h.retryAt = now + releasePause
 		return m.call(now, p, Action{Kind: Release, Holder: h.Holder, Fence: h.Fence}), true
 	}
 	return Action{}, false
@@ -163,7 +168,7 @@
 			h.released = true
 			p.handover = handover
 		} else {
-			h.retryAt = now + callPause
+			h.retryAt = now + releasePause
 		}
 	}
 }
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -26,7 +26,7 @@
 	worthMoving = 0.15
 	// manyParts is the mean number of ranges a target from which on neighbours
 	// are joined: each range is a call in each renewal.
-	manyParts = 4
+	manyParts = 2
 	// startShare is the share of a fair part that a target without keys gets.
 	startShare = 0.5
 )
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -112,7 +112,8 @@
 	rng     *rand.Rand
 	targets map[string]*target
 	owner   func(key int) Ownership
-	waiting []*Request
+	waiting queue // requests that no target's keys bind
+	queued  int   // requests in all queues
 	lent    map[uint64]*loan
 	routes  map[string]*routeStats
 	budget  *retry.Budget
@@ -175,7 +176,7 @@
 func (l *Lender) ExpectedWork(route string) time.Duration { return l.expectedWork(route) }
 
 // Waiting returns the number of requests that wait for a slot.
-func (l *Lender) Waiting() int { return len(l.waiting) }
+func (l *Lender) Waiting() int { return l.queued }
 
 // SetTargets replaces the targets that may be used. Requests that were lent a
 // slot of another target go on.
@@ -191,11 +192,20 @@
 			t.usable = false
 			l.noteCrash(now, t) // an entry also ends when its process does
 			if t.inFlight == 0 {
-				delete(l.targets, id)
+				l.drop(id, t)
 			}
 		}
 	}
-	l.dispatch(now)
+	l.review(now)
+}
+
+// drop forgets a target. Requests that wait for it look for another owner.
+func (l *Lender) drop(id string, t *target) {
+	delete(l.targets, id)
+	for _, r := range t.queue {
+		l.waiting.add(r)
+	}
+	t.queue = nil
 }
 
 func (l *Lender) setTarget(now time.Duration, info TargetInfo) {
@@ -203,6 +213,7 @@
 	if t == nil || t.Life != info.Life {
 		if t != nil {
 			l.noteCrash(now, t)
+			l.drop(info.ID, t)
 		}
 		t = newTarget(now, info)
 		l.targets[info.ID] = t
@@ -223,20 +234,24 @@
 		return
 	}
 	l.enqueue(&r)
-	l.dispatch(now)
+	if r.Key == NoKey {
+		l.dispatch(now, nil)
+	} else if t, state := l.ownerOf(r.Key); state == Held {
+		l.serve(now, &t.queue)
+	}
 }
 
 // Tick refuses the requests that cannot be answered in time any more and lends
 // slots that time has freed.
 func (l *Lender) Tick(now time.Duration) {
 	l.expireLoans(now)
-	l.dispatch(now)
+	l.review(now)
 	l.expireRefusals(now)
 }
 
 // NextTick returns how long the state stays as it is without events.
 func (l *Lender) NextTick() time.Duration {
-	if len(l.waiting) > 0 {
+	if l.queued > 0 {
 		return tickWaiting
 	}
 	return tickIdle
@@ -262,7 +277,7 @@
 	delete(l.lent, id)
 	n.target.inFlight--
 	if n.target.inFlight == 0 && !n.target.usable && l.targets[n.target.ID] == n.target {
-		delete(l.targets, n.target.ID)
+		l.drop(n.target.ID, n.target)
 	}
 }
 
@@ -274,7 +289,7 @@
 	}
 	l.finish(u.ID, n)
 	l.learn(now, n, u)
-	l.dispatch(now)
+	l.dispatch(now, n.target)
 }
 
 // Loan returns the key and the target of a request that was lent a slot.
--- /dev/null
+++ b/core/lending/lending_test.go
@@ -0,0 +1,299 @@
+package lending
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/core/retry"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func testConfig() Config { return Config{Budget: retry.BudgetConfig{Share: 0.1, Burst: 5}} }
+
+func newLender(cfg Config, owner func(int) Ownership, targets ...TargetInfo) *Lender {
+	l := New(cfg, rand.New(rand.NewSource(1)), owner)
+	l.SetTargets(0, targets)
+	return l
+}
+
+func pool(n int) []TargetInfo {
+	var out []TargetInfo
+	for i := range n {
+		out = append(out, TargetInfo{ID: fmt.Sprintf("t%d", i), Address: "a", DataCentre: "dc", Slots: 3, Life: 1, ColdRate: 11})
+	}
+	return out
+}
+
+func request(id uint64, now time.Duration) Request {
+	return Request{
+		ID: id, VM: "vm", DataCentre: "dc", Route: "r", Idempotent: true, Arrived: now,
+		Objective: now + 300*ms, Deadline: now + 1200*ms, Key: NoKey, Print: 0,
+	}
+}
+
+// take returns the decisions by request.
+func take(l *Lender) map[uint64]Decision {
+	out := map[uint64]Decision{}
+	for _, d := range l.Take() {
+		out[d.ID] = d
+	}
+	return out
+}
+
+// A target that hangs once its slots and queue are full must never get more
+// requests than it has slots, from all VMs together.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLender(testConfig(), nil, pool(3)...)
+		inFlight := map[string]int{}
+		var open []Decision
+		deadline := map[uint64]time.Duration{}
+		now := time.Duration(0)
+		finish := func(i int) {
+			l.Return(now, Usage{ID: open[i].ID, Result: Answered, Took: 50 * ms})
+			inFlight[open[i].Target]--
+			open = slices.Delete(open, i, i+1)
+		}
+		for id := uint64(1); id < 200; id++ {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * ms
+			for i := len(open) - 1; i >= 0; i-- {
+				if now > deadline[open[i].ID] {
+					finish(i) // a VM gives a request up at its deadline
+				}
+			}
+			if rapid.Bool().Draw(t, "ends") && len(open) > 0 {
+				finish(0)
+			} else {
+				deadline[id] = request(id, now).Deadline
+				l.Ask(now, request(id, now))
+			}
+			l.Tick(now)
+			for _, d := range l.Take() {
+				if d.Lent {
+					open = append(open, d)
+					inFlight[d.Target]++
+					require.LessOrEqual(t, inFlight[d.Target], 3)
+				}
+			}
+		}
+	})
+}
+
+// A cold target crashes above its rate: in no second does it get more than the
+// rate and the small burst, also in the first second and after it was idle.
+func TestColdTargetGetsNoBurst(t *testing.T) {
+	cold := pool(1)
+	cold[0].ColdUntil = 3 * time.Second
+	l := newLender(testConfig(), nil, cold...)
+	var sent []time.Duration
+	for now := time.Duration(0); now < 3*time.Second; now += 5 * ms {
+		l.Ask(now, request(uint64(now), now))
+		l.Tick(now)
+		for id, d := range take(l) {
+			if d.Lent {
+				sent = append(sent, now)
+				l.Return(now, Usage{ID: id, Result: Answered, Took: ms})
+			}
+		}
+	}
+	most := 0
+	for i := range sent {
+		n := 0
+		for _, s := range sent[i:] {
+			if s < sent[i]+time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	assert.LessOrEqual(t, most, 11+2, "in a second")
+	assert.GreaterOrEqual(t, len(sent), 20, "a cold target still works")
+}
+
+// VMs that lend to themselves share a cold target's rate: none of them may
+// begin with a saved-up request, or all of them together flood it.
+func TestColdTargetOfManyVMsStartsEmpty(t *testing.T) {
+	cold := pool(1)
+	cold[0].ColdUntil, cold[0].ColdRate = 3*time.Second, 5.2/67
+	l := newLender(Config{SlotsPerTarget: 1, Budget: testConfig().Budget}, nil, cold...)
+	l.Ask(ms, request(1, ms))
+	l.Tick(2 * ms)
+	assert.False(t, take(l)[1].Lent)
+}
+
+// fill occupies all slots of n targets.
+func fill(l *Lender, now time.Duration, slots int) []uint64 {
+	var ids []uint64
+	for i := range slots {
+		id := uint64(1000 + i)
+		l.Ask(now, request(id, now))
+		ids = append(ids, id)
+	}
+	take(l)
+	return ids
+}
+
+// A burst of three times what the targets can do: urgent requests go first,
+// and those that cannot be answered in time are refused at once, not held
+// until their deadline.
+func TestBurstServesUrgentFirstAndRefusesAtOnce(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	ids := fill(l, 0, 3)
+	for i := range 40 {
+		r := request(uint64(i+1), 10*ms)
+		r.Priority = 2
+		l.Ask(10*ms, r)
+	}
+	refused := 0
+	for _, d := range take(l) {
+		if !d.Lent {
+			refused++
+			assert.Equal(t, Overload, d.Reason)
+			assert.Positive(t, d.RetryAfter)
+		}
+	}
+	assert.Greater(t, refused, 10)
+	urgent := request(500, 20*ms)
+	urgent.Priority = 0
+	l.Ask(20*ms, urgent)
+	l.Return(30*ms, Usage{ID: ids[0], Result: Answered, Took: 30 * ms})
+	assert.True(t, take(l)[500].Lent, "the urgent request goes before those that waited")
+}
+
+// Callers that are refused together must not be asked to return together.
+func TestRefusedCallersAreSpread(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	fill(l, 0, 3)
+	seen := map[time.Duration]bool{}
+	n := 0
+	for i := range 60 {
+		l.Ask(ms, request(uint64(i+1), ms))
+	}
+	for _, d := range take(l) {
+		if !d.Lent {
+			seen[d.RetryAfter] = true
+			n++
+		}
+	}
+	assert.Greater(t, len(seen), n/2)
+}
+
+// One hot key keeps its owner busy; requests for keys of other owners must not
+// wait behind those for it.
+func TestHotKeyDoesNotHoldUpOtherOwners(t *testing.T) {
+	owner := func(key int) Ownership { return Ownership{Target: fmt.Sprintf("t%d", key%2), State: Held} }
+	l := newLender(testConfig(), owner, pool(2)...)
+	for i := range 10 {
+		r := request(uint64(i+1), 0)
+		r.Key = 0
+		l.Ask(0, r)
+	}
+	take(l)
+	r := request(100, ms)
+	r.Key = 1
+	l.Ask(ms, r)
+	assert.True(t, take(l)[100].Lent)
+}
+
+// A key whose last holder does not answer has no owner for seconds: its
+// requests are refused at once. One that is being moved is waited for.
+func TestLostKeyIsRefusedAtOnceAndMovingKeyWaits(t *testing.T) {
+	state := Lost
+	owner := func(int) Ownership { return Ownership{Target: "t0", State: state} }
+	l := newLender(testConfig(), owner, pool(1)...)
+	r := request(1, 0)
+	r.Key = 5
+	l.Ask(0, r)
+	assert.Equal(t, NoOwner, take(l)[1].Reason)
+	state = Moving
+	r.ID = 2
+	l.Ask(ms, r)
+	assert.Empty(t, take(l))
+	state = Held
+	l.Tick(50 * ms)
+	assert.True(t, take(l)[2].Lent)
+}
+
+// Repeats draw on one budget, so that failing targets are not flooded.
+func TestRepeatsAreBounded(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(30)...)
+	lent := 0
+	for i := range 50 {
+		r := request(uint64(i+1), 0)
+		r.Repeat = true
+		l.Ask(0, r)
+	}
+	for _, d := range take(l) {
+		if d.Lent {
+			lent++
+		}
+	}
+	assert.LessOrEqual(t, lent, 5)
+}
+
+// A request that crashed two targets must not reach a third.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(4)...)
+	crash := func(id uint64, now time.Duration) {
+		r := request(id, now)
+		r.Print = 7
+		l.Ask(now, r)
+		d := take(l)[id]
+		require.True(t, d.Lent)
+		l.Return(now+10*ms, Usage{ID: id, Result: Broken})
+		probe := request(id+100, now+20*ms) // finds the port closed
+		l.Ask(now+20*ms, probe)
+		for pid, p := range take(l) {
+			result := Answered
+			if p.Target == d.Target {
+				result = Refused
+			}
+			l.Return(now+30*ms, Usage{ID: pid, Result: result, Took: ms})
+		}
+		l.targets[d.Target].usable = true
+		l.noteCrash(now+40*ms, l.targets[d.Target])
+	}
+	crash(1, 0)
+	crash(2, 100*ms)
+	r := request(3, 200*ms)
+	r.Print = 7
+	l.Ask(200*ms, r)
+	assert.Equal(t, Suspect, take(l)[3].Reason)
+}
+
+// Neighbours on a target's machine slow it down: work goes to the others.
+func TestSlowTargetGetsLessWork(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(4)...)
+	got := map[string]int{}
+	now := time.Duration(0)
+	for id := uint64(1); id <= 400; id++ {
+		now += 30 * ms
+		l.Ask(now, request(id, now))
+		for _, d := range take(l) {
+			took := 60 * ms
+			if d.Target == "t0" {
+				took *= 5
+			}
+			got[d.Target]++
+			l.Return(now+ms, Usage{ID: d.ID, Result: Answered, Took: took})
+		}
+	}
+	assert.Less(t, got["t0"], 40)
+}
+
+// A VM that was given slots and is gone must not keep them.
+func TestLostLoansExpire(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	fill(l, 0, 3)
+	now := 1200*ms + loanSlack + ms
+	l.Tick(now)
+	l.Ask(now, request(1, now))
+	assert.True(t, take(l)[1].Lent)
+}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -35,6 +35,66 @@
 	at      time.Duration
 }
 
+// queue holds requests by priority, then by arrival.
+type queue []*Request
+
+func (q *queue) add(r *Request) {
+	i, _ := slices.BinarySearchFunc(*q, r, before)
+	for i < len(*q) && before((*q)[i], r) <= 0 {
+		i++
+	}
+	*q = slices.Insert(*q, i, r)
+}
+
+func (q *queue) remove(i int) { *q = slices.Delete(*q, i, i+1) }
+
+func before(a, b *Request) int {
+	if a.Priority != b.Priority {
+		return a.Priority - b.Priority
+	}
+	switch {
+	case a.Arrived < b.Arrived:
+		return -1
+	case a.Arrived > b.Arrived:
+		return 1
+	}
+	return 0
+}
+
+// next returns the place of the request to serve first: the first one that can
+// still meet its objective, or else the first one. Suspects that have to run
+// alone are passed over. It returns -1 if none may be served.
+func (q queue) next(now time.Duration, l *Lender) int {
+	first := -1
+	for i, r := range q {
+		if first >= 0 && r.Priority != q[first].Priority {
+			break
+		}
+		if l.crashes.Check(now, r.Print) == quarantine.Alone && l.printInFlight(r.Print) {
+			continue
+		}
+		if now+l.expectedWork(r.Route) <= r.Objective {
+			return i
+		}
+		if first < 0 {
+			first = i
+		}
+	}
+	return first
+}
+
+// workAhead sums the expected work of the requests that go before one.
+func (q queue) workAhead(r *Request, l *Lender) time.Duration {
+	var sum time.Duration
+	for _, w := range q {
+		if w.Priority > r.Priority {
+			break
+		}
+		sum += l.expectedWork(w.Route)
+	}
+	return sum
+}
+
 // admit refuses a request that cannot be answered in time.
 func (l *Lender) admit(now time.Duration, r *Request) (Decision, bool) {
 	if !l.started {
@@ -87,7 +147,7 @@
 	if slots == 0 {
 		return minRetryAfter, NoTarget
 	}
-	ahead := l.workAhead(r, "")
+	ahead := l.waiting.workAhead(r, l)
 	if ahead == 0 && free {
 		return 0, ""
 	}
@@ -104,7 +164,7 @@
 	case !t.available(now):
 		return ownerWait, NoOwner
 	}
-	ahead := l.workAhead(r, t.ID)
+	ahead := t.queue.workAhead(r, l)
 	if ahead == 0 && l.hasRoom(now, t) {
 		return 0, ""
 	}
@@ -112,71 +172,90 @@
 	return time.Duration(float64(ahead+l.expectedWork(r.Route)) * t.slowness / float64(slots)), ""
 }
 
-// workAhead sums the expected work of the waiting requests that go before one.
-func (l *Lender) workAhead(r *Request, owner string) time.Duration {
-	var sum time.Duration
-	for _, w := range l.waiting {
-		if w.Priority > r.Priority {
-			break
-		}
-		if owner != "" {
-			if t, state := l.ownerOf(w.Key); state != Held || t.ID != owner {
-				continue
-			}
+// enqueue puts a request into the queue of the owner of its key, or into the
+// common one.
+func (l *Lender) enqueue(r *Request) {
+	l.queued++
+	if r.Key != NoKey {
+		if t, state := l.ownerOf(r.Key); state == Held {
+			t.queue.add(r)
+			return
 		}
-		sum += l.expectedWork(w.Route)
 	}
-	return sum
+	l.waiting.add(r)
 }
 
-// enqueue keeps the order: priority, then arrival.
-func (l *Lender) enqueue(r *Request) {
-	i, _ := slices.BinarySearchFunc(l.waiting, r, before)
-	for i < len(l.waiting) && before(l.waiting[i], r) <= 0 {
-		i++
+// dispatch lends free slots: those of one target if its keys bind requests to
+// it, otherwise all.
+func (l *Lender) dispatch(now time.Duration, freed *target) {
+	if l.queued == 0 {
+		return
+	}
+	if freed != nil && len(freed.queue) > 0 {
+		l.serve(now, &freed.queue)
+	}
+	if l.owner == nil {
+		l.serve(now, &l.waiting)
 	}
-	l.waiting = slices.Insert(l.waiting, i, r)
 }
 
-func before(a, b *Request) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	switch {
-	case a.Arrived < b.Arrived:
-		return -1
-	case a.Arrived > b.Arrived:
-		return 1
+// serve lends slots to the requests of a queue until none is free.
+func (l *Lender) serve(now time.Duration, q *queue) {
+	for len(*q) > 0 {
+		i := q.next(now, l)
+		if i < 0 {
+			return
+		}
+		r := (*q)[i]
+		t := l.choose(now, r)
+		if t == nil {
+			return
+		}
+		l.lend(now, r, t)
+		q.remove(i)
+		l.queued--
 	}
-	return 0
 }
 
-// dispatch lends free slots to waiting requests, those that can still meet
-// their objective first, and refuses those that wait in vain.
-func (l *Lender) dispatch(now time.Duration) {
-	if len(l.waiting) == 0 {
+// review refuses the waiting requests that cannot be answered in time and
+// moves those whose key has another owner now.
+func (l *Lender) review(now time.Duration) {
+	if l.queued == 0 {
 		return
 	}
-	kept := l.waiting[:0]
-	var late []*Request
-	for _, r := range l.waiting {
-		switch {
-		case l.expired(now, r):
-		case now+l.expectedWork(r.Route) > r.Objective:
-			late = append(late, r)
-		case !l.tryLend(now, r):
-			kept = append(kept, r)
+	l.reviewQueue(now, &l.waiting, nil)
+	for _, t := range l.targets {
+		if len(t.queue) > 0 {
+			l.reviewQueue(now, &t.queue, t)
 		}
 	}
-	for _, r := range late {
-		if !l.tryLend(now, r) {
-			kept = append(kept, r)
+	l.serve(now, &l.waiting)
+	for _, t := range l.targets {
+		if len(t.queue) > 0 {
+			l.serve(now, &t.queue)
 		}
 	}
-	clear(l.waiting[len(kept):])
-	l.waiting = kept
-	if len(late) > 0 {
-		slices.SortStableFunc(l.waiting, before)
+}
+
+func (l *Lender) reviewQueue(now time.Duration, q *queue, at *target) {
+	var moved []*Request
+	*q = slices.DeleteFunc(*q, func(r *Request) bool {
+		if l.expired(now, r) {
+			l.queued--
+			return true
+		}
+		if r.Key == NoKey {
+			return false
+		}
+		if t, state := l.ownerOf(r.Key); state == Held && t != at || state != Held && at != nil {
+			moved = append(moved, r)
+			return true
+		}
+		return false
+	})
+	for _, r := range moved {
+		l.queued--
+		l.enqueue(r)
 	}
 }
 
@@ -198,18 +277,10 @@
 	return false
 }
 
-func (l *Lender) tryLend(now time.Duration, r *Request) bool {
-	if l.crashes.Check(now, r.Print) == quarantine.Alone && l.printInFlight(r.Print) {
-		return false
-	}
-	t := l.choose(now, r)
-	if t == nil {
-		return false
-	}
+func (l *Lender) lend(now time.Duration, r *Request, t *target) {
 	t.lend(now)
 	l.lent[r.ID] = &loan{Request: *r, target: t, sent: now}
 	l.out = append(l.out, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
-	return true
 }
 
 func (l *Lender) printInFlight(p quarantine.Fingerprint) bool {
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -54,6 +54,7 @@
 	tokens        float64 // while cold
 	tokensAt      time.Duration
 	broken        []brokenLoan
+	queue         queue // requests for keys that the target holds
 	// answered is when each VM last got an answer: it may still have an idle
 	// connection.
 	answered map[string]time.Duration
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -76,9 +76,12 @@
 func (s *Service) syncWith(vm fleet.VM) {
 	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
 	defer cancel()
-	asked, began := s.view.Ends(), s.clock.Now()
+	asked, began, sent := s.view.Ends(), s.clock.Now(), time.Now()
 	var reply SyncReply
 	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", SyncArgs{VM: s.self.ID, Ends: asked}, &reply); err != nil {
+		if ctx.Err() != nil && s.ctx.Err() == nil {
+			s.peers.Drop(vm.PeerAddress, sent)
+		}
 		s.noteLost(vm, err)
 		return
 	}
--- /dev/null
+++ b/node/eventlog/eventlog_test.go
@@ -0,0 +1,47 @@
+package eventlog
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+)
+
+// A flood of one message must not push out the lines of others.
+func TestFloodLeavesRoomForOtherMessages(t *testing.T) {
+	var out bytes.Buffer
+	log, flush := New("vm", &out, metrics.NewRegistry())
+	for range 10000 {
+		log.Info("request", "request", "r1")
+	}
+	log.Info("leads a cell", "service", "s")
+	flush()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.LessOrEqual(t, len(lines), int(burst)+100)
+	assert.Contains(t, lines[len(lines)-1], "leads a cell")
+}
+
+// An output that takes nothing must not hold up the caller.
+func TestStuckOutputDoesNotBlock(t *testing.T) {
+	r, w := io.Pipe() // nobody reads
+	defer r.Close()
+	registry := metrics.NewRegistry()
+	log, _ := New("vm", w, registry)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * queueLines {
+			log.Error("step failed") // errors have no budget
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the logger blocks")
+	}
+	assert.Positive(t, registry.Get("log.lines_lost").(metrics.Counter).Count())
+}
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -28,6 +28,15 @@
 	connsPerPeer = 4
 )
 
+// Options change how a Client keeps its connections.
+type Options struct {
+	// Connections to each peer; 0 means connsPerPeer.
+	Connections int
+	// NoPings leaves it to the caller to find silent connections, by calls of
+	// its own with a timeout and Drop.
+	NoPings bool
+}
+
 // CallError is a failed call. MayHaveRun is false only when the call provably
 // did not reach the peer.
 type CallError struct {
@@ -53,8 +62,9 @@
 	condemned metrics.Counter
 	traffic   *wire.Counters
 	// LocalAddr is the source of connections; nil leaves it to the system.
-	// It is set before the first call.
+	// It and Options are set before the first call.
 	LocalAddr *net.TCPAddr
+	Options   Options
 
 	mu     sync.Mutex
 	peers  map[string]*connSet
@@ -62,7 +72,7 @@
 }
 
 type connSet struct {
-	slots [connsPerPeer]*conn
+	slots []*conn
 	next  int
 }
 
@@ -99,7 +109,9 @@
 		return &CallError{Step: "dial", Peer: address, Method: method, Err: err}
 	}
 	done := make(chan *rpc.Call, 1)
-	c.watch(address, cn)
+	if !c.Options.NoPings {
+		c.watch(address, cn)
+	}
 	defer cn.finished()
 	cn.rpc.Go(method, args, reply, done)
 	select {
@@ -118,6 +130,32 @@
 	}
 }
 
+func (c *Client) connections() int {
+	if c.Options.Connections > 0 {
+		return c.Options.Connections
+	}
+	return connsPerPeer
+}
+
+// Drop closes the connections to a peer that were open when a call without an
+// answer began. Calls that wait on them fail.
+func (c *Client) Drop(address string, began time.Time) {
+	c.mu.Lock()
+	var old []*conn
+	if set := c.peers[address]; set != nil {
+		for _, cn := range set.slots {
+			if cn != nil && cn.openedBefore(began) {
+				old = append(old, cn)
+			}
+		}
+	}
+	c.mu.Unlock()
+	for _, cn := range old {
+		c.condemned.Inc(1)
+		c.drop(address, cn)
+	}
+}
+
 func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
 	c.mu.Lock()
 	if c.closed {
@@ -126,10 +164,10 @@
 	}
 	set := c.peers[address]
 	if set == nil {
-		set = &connSet{}
+		set = &connSet{slots: make([]*conn, c.connections())}
 		c.peers[address] = set
 	}
-	set.next = (set.next + 1) % connsPerPeer
+	set.next = (set.next + 1) % len(set.slots)
 	i := set.next
 	cn := set.slots[i]
 	if cn == nil {
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -7,12 +7,14 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/exporter"
 	"github.com/mangogate/mangogate/node/feed"
 	"github.com/mangogate/mangogate/node/gateway"
 	"github.com/mangogate/mangogate/node/kernel"
@@ -33,9 +35,9 @@
 	Callers    string  // address for callers
 	Readiness  string  // address of the load balancer's checks
 	Peers      string  // address for other VMs
+	Metrics    string  // address of the figures, or ""
 	PeerKey    []byte
-	Grace      time.Duration // from SIGTERM to the end
-	Notice     time.Duration // from SIGTERM until new connections are refused
+	Drain      gateway.Drain
 }
 
 // Adapter connects a router to the platform that it runs on.
@@ -49,16 +51,17 @@
 type Router struct {
 	kernel   *kernel.Kernel
 	logger   hclog.Logger
-	Registry metrics.Registry
+	registry metrics.Registry
+	drain    atomic.Pointer[gateway.Drain]
 }
 
 // New assembles a router.
-func New(s Settings, a Adapter, logger hclog.Logger) (*Router, error) {
+func New(s Settings, a Adapter, logger hclog.Logger, registry metrics.Registry) (*Router, error) {
 	boot := make([]byte, bootIDBytes)
 	if _, err := rand.Read(boot); err != nil {
 		return nil, errors.Wrap(err, "create boot id")
 	}
-	r := &Router{kernel: kernel.New(), logger: logger, Registry: metrics.NewRegistry()}
+	r := &Router{kernel: kernel.New(), logger: logger, registry: registry}
 	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Cores: s.Cores, Boot: hex.EncodeToString(boot)}
 	return r, r.assemble(s, self, a)
 }
@@ -68,35 +71,41 @@
 	c := clock.New()
 	v := view.New(c.Now, r.logger.Named("view"))
 	store := a.Store(local, r.logger.Named("store"))
-	server := peer.NewServer(s.Peers, s.PeerKey, nil, r.logger.Named("peer"), r.Registry)
-	client := peer.NewClient(s.PeerKey, nil, r.Registry)
-	client.LocalAddr = local
+	server := peer.NewServer(s.Peers, s.PeerKey, nil, r.logger.Named("peer"), r.registry)
+	client := peer.NewClient(s.PeerKey, nil, r.registry)
+	// The exchanges of views show silent connections.
+	client.LocalAddr, client.Options = local, peer.Options{Connections: 1, NoPings: true}
 	cells, err := cell.New(cell.Config{
 		Self: self, View: v, Store: store, Orders: a.Orders(r.targets(local)), Clock: c, Peers: client, Server: server,
-		Logger: r.logger.Named("cell"), Registry: r.Registry,
+		Logger: r.logger.Named("cell"), Registry: r.registry,
 	})
 	if err != nil {
 		return err
 	}
 	g := gateway.New(gateway.Config{
 		VM: self, Wire: a.Wire(), View: v, Cells: cells, Targets: r.targets(local), Clock: c,
-		Logger: r.logger.Named("gateway"), Registry: r.Registry,
+		Logger: r.logger.Named("gateway"), Registry: r.registry,
 	})
-	drain := func() gateway.Drain { return gateway.Drain{Notice: s.Notice, Grace: s.Grace} }
+	r.drain.Store(&s.Drain)
 	return r.kernel.Register(
 		server, client,
-		feed.New(self, v, store, c, cells, r.logger.Named("feed"), r.Registry),
+		feed.New(self, v, store, c, cells, r.logger.Named("feed"), r.registry),
 		cells,
-		gateway.NewListener(g, s.Callers, s.Readiness, drain),
+		gateway.NewListener(g, s.Callers, s.Readiness, func() gateway.Drain { return *r.drain.Load() }),
+		exporter.New(s.Metrics, r.registry, r.logger.Named("metrics")),
 	)
 }
 
 func (r *Router) targets(local *net.TCPAddr) *upstream.Client {
 	d := net.Dialer{KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	peer.Bind(&d, local)
-	return upstream.New(d, r.Registry)
+	return upstream.New(d, r.registry)
 }
 
+// Apply takes the settings that may change while the process runs: the times of
+// a planned stop.
+func (r *Router) Apply(s Settings) { r.drain.Store(&s.Drain) }
+
 // Start starts all modules.
 func (r *Router) Start(ctx context.Context) error { return r.kernel.Start(ctx) }
 
