Let requests in time pass late ones; shorten holds; balance keys finer

Cause: on the grown deployments reads of keyed services waited behind requests that had missed their objective, owners were uneven, and keys of lost targets had no owner for 3.7 s. Change: admission counts only what goes before a request; one that misses its objective is refused if it has no chance; holds of 2.2 s; ranges move from 0.3 of a target's slots on. Test: TestLateRequestsDoNotPushOutThoseInTime, seen to fail without the change.

--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -15,15 +15,15 @@
 const (
 	// busyEnough is the share of a target's slots from which on its load is
 	// worth a move; below, requests seldom wait.
-	busyEnough = 0.45
+	busyEnough = 0.3
 	// uneven is how much busier than the mean a target has to be.
-	uneven = 1.35
+	uneven = 1.2
 	// movesPerPlan and moveShare bound the ranges that change hands at once, the
 	// second as a share of the targets: a hot spot may need many of them.
 	movesPerPlan = 6
 	moveShare    = 0.3
 	// worthMoving is the least load, in slots, for which a range is cut.
-	worthMoving = 0.15
+	worthMoving = 0.1
 	// manyParts is the mean number of ranges a target from which on neighbours
 	// are joined: each range is a call in each renewal.
 	manyParts = 2
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -32,6 +32,8 @@
 	Repeat     bool          // the request was sent to a target before
 	Avoid      string        // target that failed the request, or ""
 	Print      quarantine.Fingerprint
+
+	missed bool // its objective, while it waited
 }
 
 // Reason says why a request is refused.
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -297,3 +297,23 @@
 	l.Ask(now, request(1, now))
 	assert.True(t, take(l)[1].Lent)
 }
+
+// In a lasting overload the queue fills with requests that have missed their
+// objective. A new request that can still meet its own passes them and must
+// not be refused because of them.
+func TestLateRequestsDoNotPushOutThoseInTime(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	ids := fill(l, 0, 3)
+	for i := range 4 {
+		r := request(uint64(i+1), 0)
+		r.Deadline = 10 * time.Second // patient, but late soon
+		l.Ask(0, r)
+	}
+	take(l)
+	now := 290 * ms
+	l.Tick(now)
+	fresh := request(100, now)
+	l.Ask(now, fresh)
+	l.Return(now+ms, Usage{ID: ids[0], Result: Answered, Took: 80 * ms})
+	assert.True(t, take(l)[100].Lent)
+}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -73,7 +73,7 @@
 		if l.crashes.Check(now, r.Print) == quarantine.Alone && l.printInFlight(r.Print) {
 			continue
 		}
-		if now+l.expectedWork(r.Route) <= r.Objective {
+		if l.inTime(now, r) {
 			return i
 		}
 		if first < 0 {
@@ -83,18 +83,27 @@
 	return first
 }
 
-// workAhead sums the expected work of the requests that go before one.
-func (q queue) workAhead(r *Request, l *Lender) time.Duration {
+// workAhead sums the expected work of the requests that go before one. Requests
+// that have missed their objective let those pass that can still meet theirs.
+func (q queue) workAhead(now time.Duration, r *Request, l *Lender) time.Duration {
 	var sum time.Duration
+	inTime := l.inTime(now, r)
 	for _, w := range q {
 		if w.Priority > r.Priority {
 			break
 		}
-		sum += l.expectedWork(w.Route)
+		if w != r && (!inTime || w.Priority < r.Priority || l.inTime(now, w)) {
+			sum += l.expectedWork(w.Route)
+		}
 	}
 	return sum
 }
 
+// inTime tells whether a request could meet its objective if it were sent now.
+func (l *Lender) inTime(now time.Duration, r *Request) bool {
+	return now+l.expectedWork(r.Route) <= r.Objective
+}
+
 // admit refuses a request that cannot be answered in time.
 func (l *Lender) admit(now time.Duration, r *Request) (Decision, bool) {
 	if !l.started {
@@ -116,17 +125,16 @@
 		return Decision{Reason: reason, RetryAfter: wait}, true
 	}
 	done := now + wait + l.expectedWork(r.Route)
-	if done > l.patience(now, r) {
+	if done > l.patience(r) {
 		return Decision{Reason: Overload, RetryAfter: wait}, true
 	}
 	return Decision{}, false
 }
 
 // patience is the point in time up to which an answer is worth a place in the
-// queue: the objective, or a share of the deadline for those whose objective
-// is short or passed.
-func (l *Lender) patience(now time.Duration, r *Request) time.Duration {
-	return max(r.Objective, now+time.Duration(lateShare*float64(r.Deadline-now)))
+// queue: the objective, or a share of the whole time if that is later.
+func (l *Lender) patience(r *Request) time.Duration {
+	return max(r.Objective, r.Arrived+time.Duration(lateShare*float64(r.Deadline-r.Arrived)))
 }
 
 // expectedWait estimates the time until a slot is free for a request, from the
@@ -147,7 +155,7 @@
 	if slots == 0 {
 		return minRetryAfter, NoTarget
 	}
-	ahead := l.waiting.workAhead(r, l)
+	ahead := l.waiting.workAhead(now, r, l)
 	if ahead == 0 && free {
 		return 0, ""
 	}
@@ -164,7 +172,7 @@
 	case !t.available(now):
 		return ownerWait, NoOwner
 	}
-	ahead := t.queue.workAhead(r, l)
+	ahead := t.queue.workAhead(now, r, l)
 	if ahead == 0 && l.hasRoom(now, t) {
 		return 0, ""
 	}
@@ -239,11 +247,16 @@
 
 func (l *Lender) reviewQueue(now time.Duration, q *queue, at *target) {
 	var moved []*Request
+	var missed []*Request
 	*q = slices.DeleteFunc(*q, func(r *Request) bool {
 		if l.expired(now, r) {
 			l.queued--
 			return true
 		}
+		if !r.missed && !l.inTime(now, r) {
+			r.missed = true
+			missed = append(missed, r)
+		}
 		if r.Key == NoKey {
 			return false
 		}
@@ -257,6 +270,24 @@
 		l.queued--
 		l.enqueue(r)
 	}
+	for _, r := range missed {
+		l.reconsider(now, q, r)
+	}
+}
+
+// reconsider refuses a request that has missed its objective in the queue if
+// those before it leave it no chance.
+func (l *Lender) reconsider(now time.Duration, q *queue, r *Request) {
+	i := slices.Index(*q, r)
+	if i < 0 {
+		return
+	}
+	wait, reason := l.expectedWait(now, r)
+	if reason != "" || now+wait+l.expectedWork(r.Route) > l.patience(r) {
+		q.remove(i)
+		l.queued--
+		l.refuse(now, r, Decision{Reason: Overload, RetryAfter: wait})
+	}
 }
 
 // expired refuses a request that cannot be answered in time, or whose key has
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -18,7 +18,7 @@
 	overdue = 4.0
 	// crossingCost is added to the expected time at a target in another data
 	// centre, so that bytes stay in their data centre where times are alike.
-	crossingCost = 4 * time.Millisecond
+	crossingCost = 8 * time.Millisecond
 	// openCost is added to the expected time where a connection has to be
 	// opened: targets accept few of them, and a new one takes a slot for a while.
 	openCost = 12 * time.Millisecond
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -13,9 +13,9 @@
 
 const (
 	// hold is how long a target keeps keys without a renewal. Keys of a target
-	// that vanished are served again after it, within 4 s.
-	hold  = 3 * time.Second
-	renew = 800 * time.Millisecond // two renewals may be lost
+	// that vanished are served again after it, well within 4 s.
+	hold  = 2200 * time.Millisecond
+	renew = 600 * time.Millisecond // two renewals may be lost
 	// callTimeout bounds a grant; a target answers one in a few milliseconds.
 	callTimeout = 700 * time.Millisecond
 	// releaseTimeout bounds a release, which waits for work to end.
