--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -304,9 +304,9 @@
 func TestLateRequestsDoNotPushOutThoseInTime(t *testing.T) {
 	l := newLender(testConfig(), nil, pool(1)...)
 	ids := fill(l, 0, 3)
-	for i := range 4 {
+	for i := range 40 {
 		r := request(uint64(i+1), 0)
-		r.Deadline = 10 * time.Second // patient, but late soon
+		r.Deadline = 100 * time.Second // patient, but late soon
 		l.Ask(0, r)
 	}
 	take(l)
