Wait for keys that get an owner in time; let unsent renewals not extend holds

Change: the bound goes back when a renewal was not sent; requests for lost keys wait if the key gets an owner within their patience, and Retry-After is the rest of the wait otherwise; VMs confirm a leader's authority that the store turns away. Tests: TestUnsentRenewalDoesNotExtendHold, TestLostKeyIsRefusedAtOnceAndMovingKeyWaits extended (the old code cannot express the wait).

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		h.retryAt = now + releasePause
-		return m.call(now, p, Action{Kind: Release, Holder: h.Holder, Fence: h.Fence}), true
+		return m.call(now, p, Action{Kind: Release, Holder: h.Holder, Fence: h.Fence}, h.until), true
 	}
 	return Action{}, false
 }
@@ -70,14 +70,15 @@
 		return Action{}, false
 	}
 	p.sentAt = now
+	heldTo := p.until
 	p.until = max(p.until, now+m.cfg.longest())
-	return m.call(now, p, Action{Kind: Grant, Holder: p.Owner, Fence: p.Fence, Handover: p.handover}), true
+	return m.call(now, p, Action{Kind: Grant, Holder: p.Owner, Fence: p.Fence, Handover: p.handover}, heldTo), true
 }
 
-func (m *Manager) call(now time.Duration, p *part, a Action) Action {
+func (m *Manager) call(now time.Duration, p *part, a Action, heldTo time.Duration) Action {
 	m.nextID++
 	a.ID, a.From, a.To = m.nextID, p.From, p.To
-	c := &call{Action: a, sent: now}
+	c := &call{Action: a, sent: now, heldTo: heldTo}
 	m.calls[a.ID] = c
 	p.trimCalls()
 	p.calls = append(p.calls, c)
@@ -136,7 +137,12 @@
 		p.granted, p.outdone = false, true
 	case Ended:
 		p.granted = false
-	case NoAnswer, NotSent:
+	case NotSent:
+		if p.until == c.sent+cfg.longest() {
+			p.until = max(c.heldTo, p.unsureTo)
+		}
+		p.granted = p.granted && now < p.until
+	case NoAnswer:
 		p.granted = p.granted && now < p.until
 	}
 }
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -92,7 +92,9 @@
 type call struct {
 	Action
 	sent time.Duration
-	done bool
+	// heldTo is up to when the range could be held before the call.
+	heldTo time.Duration
+	done   bool
 }
 
 // part is an assignment with what its manager knows of it.
@@ -164,18 +166,32 @@
 	Lost                         // an earlier holder that does not answer is waited out
 )
 
-// Owner returns the target that a key is assigned to.
-func (m *Manager) Owner(key int) (Holder, OwnerState) {
+// Owner returns the target that a key is assigned to. A key that is Lost can be
+// granted to its owner after a wait.
+func (m *Manager) Owner(now time.Duration, key int) (h Holder, state OwnerState, wait time.Duration) {
 	p := m.find(key)
 	switch {
 	case p.Owner.Target == "":
-		return p.Owner, Lost
+		return p.Owner, Lost, m.cfg.longest()
 	case len(p.prior) == 0 && p.granted:
-		return p.Owner, Held
+		return p.Owner, Held, 0
 	case m.waitsInVain(p):
-		return p.Owner, Lost
+		return p.Owner, Lost, p.waitLeft(now)
 	}
-	return p.Owner, Moving
+	return p.Owner, Moving, 0
+}
+
+// waitLeft returns how long earlier holders, or an owner that is about to be
+// replaced, may still hold a part.
+func (p *part) waitLeft(now time.Duration) time.Duration {
+	var until time.Duration
+	if len(p.prior) == 0 {
+		until = p.until
+	}
+	for _, h := range p.prior {
+		until = max(until, h.until)
+	}
+	return max(0, until-now)
 }
 
 // waitsInVain tells whether a part waits for a holder that does not answer.
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -51,7 +51,7 @@
 // holds nothing; waiting for the end of the hold would leave the keys unserved.
 func TestAddressTakenByAnotherProcessEndsHold(t *testing.T) {
 	m := settled(t, "a", "b")
-	owner, state := m.Owner(0)
+	owner, state, _ := m.Owner(0, 0)
 	require.Equal(t, Held, state)
 	actions := m.Step(time.Second, runs)
 	for _, a := range actions {
@@ -65,7 +65,7 @@
 	require.True(t, ok, "the ended holder must be replaced although it is still listed")
 	m.Committed(2)
 	answerAll(m, time.Second+time.Millisecond, Accepted)
-	now, state := m.Owner(0)
+	now, state, _ := m.Owner(0, 0)
 	assert.NotEqual(t, owner, now)
 	assert.Equal(t, Held, state)
 }
@@ -74,7 +74,7 @@
 // own clock, which may be slow.
 func TestKeysOfSilentHolderWaitForItsHold(t *testing.T) {
 	m := settled(t, "a", "b")
-	owner, _ := m.Owner(0)
+	owner, _, _ := m.Owner(0, 0)
 	rest := "b"
 	if owner.Target == "b" {
 		rest = "a"
@@ -94,7 +94,20 @@
 		}
 	}
 	answerAll(m, end+testTimeout+time.Millisecond, Accepted)
-	now, state := m.Owner(0)
+	now, state, _ := m.Owner(0, 0)
 	assert.Equal(t, rest, now.Target)
 	assert.Equal(t, Held, state)
 }
+
+// Renewals that provably did not reach a dark target must not postpone the end
+// of its hold, or its keys stay unserved for longer than the hold.
+func TestUnsentRenewalDoesNotExtendHold(t *testing.T) {
+	m := settled(t, "a", "b")
+	_, _, before := m.Owner(0, 0)
+	require.Zero(t, before)
+	until := m.find(0).until
+	for now := time.Second; now < 2*time.Second; now += 200 * time.Millisecond {
+		answerAll(m, now, NotSent)
+	}
+	assert.Equal(t, until, m.find(0).until)
+}
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -14,7 +14,7 @@
 // with a slow append, on which two targets held the same keys for 3 s.
 func TestRenewalDuringProposalIsWaitedFor(t *testing.T) {
 	m := settled(t, "a", "b")
-	owner, _ := m.Owner(0)
+	owner, _, _ := m.Owner(0, 0)
 	rest := "b"
 	if owner.Target == "b" {
 		rest = "a"
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -113,7 +113,7 @@
 	cfg     Config
 	rng     *rand.Rand
 	targets map[string]*target
-	owner   func(key int) Ownership
+	owner   func(now time.Duration, key int) Ownership
 	waiting queue // requests that no target's keys bind
 	queued  int   // requests in all queues
 	lent    map[uint64]*loan
@@ -145,11 +145,12 @@
 type Ownership struct {
 	Target string
 	State  OwnerState
+	Wait   time.Duration // until a lost key is expected to have an owner
 }
 
 // New returns a lender without targets. Owner tells which target holds a key;
 // it is nil for services without keys.
-func New(cfg Config, rng *rand.Rand, owner func(int) Ownership) *Lender {
+func New(cfg Config, rng *rand.Rand, owner func(now time.Duration, key int) Ownership) *Lender {
 	return &Lender{
 		cfg: cfg, rng: rng, owner: owner,
 		targets: map[string]*target{}, lent: map[uint64]*loan{}, routes: map[string]*routeStats{},
@@ -235,10 +236,10 @@
 		l.refuse(now, &r, d)
 		return
 	}
-	l.enqueue(&r)
+	l.enqueue(now, &r)
 	if r.Key == NoKey {
 		l.dispatch(now, nil)
-	} else if t, state := l.ownerOf(r.Key); state == Held {
+	} else if t, state := l.ownerOf(now, r.Key); state == Held {
 		l.serve(now, &t.queue)
 	}
 }
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -17,7 +17,7 @@
 
 func testConfig() Config { return Config{Budget: retry.BudgetConfig{Share: 0.1, Burst: 5}} }
 
-func newLender(cfg Config, owner func(int) Ownership, targets ...TargetInfo) *Lender {
+func newLender(cfg Config, owner func(time.Duration, int) Ownership, targets ...TargetInfo) *Lender {
 	l := New(cfg, rand.New(rand.NewSource(1)), owner)
 	l.SetTargets(0, targets)
 	return l
@@ -188,7 +188,9 @@
 // One hot key keeps its owner busy; requests for keys of other owners must not
 // wait behind those for it.
 func TestHotKeyDoesNotHoldUpOtherOwners(t *testing.T) {
-	owner := func(key int) Ownership { return Ownership{Target: fmt.Sprintf("t%d", key%2), State: Held} }
+	owner := func(_ time.Duration, key int) Ownership {
+		return Ownership{Target: fmt.Sprintf("t%d", key%2), State: Held}
+	}
 	l := newLender(testConfig(), owner, pool(2)...)
 	for i := range 10 {
 		r := request(uint64(i+1), 0)
@@ -206,19 +208,26 @@
 // requests are refused at once. One that is being moved is waited for.
 func TestLostKeyIsRefusedAtOnceAndMovingKeyWaits(t *testing.T) {
 	state := Lost
-	owner := func(int) Ownership { return Ownership{Target: "t0", State: state} }
+	wait := 3 * time.Second
+	owner := func(time.Duration, int) Ownership { return Ownership{Target: "t0", State: state, Wait: wait} }
 	l := newLender(testConfig(), owner, pool(1)...)
 	r := request(1, 0)
 	r.Key = 5
 	l.Ask(0, r)
 	assert.Equal(t, NoOwner, take(l)[1].Reason)
+	wait = 100 * ms
+	r.ID = 3
+	l.Ask(0, r)
+	assert.Empty(t, take(l), "a key that gets an owner within the objective is waited for")
 	state = Moving
 	r.ID = 2
 	l.Ask(ms, r)
 	assert.Empty(t, take(l))
 	state = Held
 	l.Tick(50 * ms)
-	assert.True(t, take(l)[2].Lent)
+	decided := take(l)
+	assert.True(t, decided[2].Lent)
+	assert.True(t, decided[3].Lent)
 }
 
 // Repeats draw on one budget, so that failing targets are not flooded.
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -163,10 +163,13 @@
 }
 
 func (l *Lender) ownerBacklog(now time.Duration, r *Request) (time.Duration, Reason) {
-	t, state := l.ownerOf(r.Key)
+	t, state := l.ownerOf(now, r.Key)
 	switch {
 	case state == Lost:
-		return maxRetryAfter, NoOwner
+		if wait := l.owner(now, r.Key).Wait; now+wait+l.expectedWork(r.Route) > l.patience(r) {
+			return wait, NoOwner
+		}
+		return 0, ""
 	case state == Moving:
 		return 0, "" // the queue bounds the wait
 	case !t.available(now):
@@ -182,10 +185,10 @@
 
 // enqueue puts a request into the queue of the owner of its key, or into the
 // common one.
-func (l *Lender) enqueue(r *Request) {
+func (l *Lender) enqueue(now time.Duration, r *Request) {
 	l.queued++
 	if r.Key != NoKey {
-		if t, state := l.ownerOf(r.Key); state == Held {
+		if t, state := l.ownerOf(now, r.Key); state == Held {
 			t.queue.add(r)
 			return
 		}
@@ -260,7 +263,7 @@
 		if r.Key == NoKey {
 			return false
 		}
-		if t, state := l.ownerOf(r.Key); state == Held && t != at || state != Held && at != nil {
+		if t, state := l.ownerOf(now, r.Key); state == Held && t != at || state != Held && at != nil {
 			moved = append(moved, r)
 			return true
 		}
@@ -268,7 +271,7 @@
 	})
 	for _, r := range moved {
 		l.queued--
-		l.enqueue(r)
+		l.enqueue(now, r)
 	}
 	for _, r := range missed {
 		l.reconsider(now, q, r)
@@ -300,12 +303,23 @@
 	if r.Key == NoKey {
 		return false
 	}
-	t, state := l.ownerOf(r.Key)
-	if state == Lost || state == Moving && now > r.Arrived+ownerWait || state == Held && !t.available(now) {
-		l.refuse(now, r, Decision{Reason: NoOwner, RetryAfter: ownerWait})
-		return true
+	wait := ownerWait
+	switch t, state := l.ownerOf(now, r.Key); state {
+	case Held:
+		if t.available(now) {
+			return false
+		}
+	case Moving:
+		if now <= r.Arrived+ownerWait {
+			return false
+		}
+	case Lost:
+		if wait = l.owner(now, r.Key).Wait; now+wait+l.expectedWork(r.Route) <= l.patience(r) {
+			return false
+		}
 	}
-	return false
+	l.refuse(now, r, Decision{Reason: NoOwner, RetryAfter: wait})
+	return true
 }
 
 func (l *Lender) lend(now time.Duration, r *Request, t *target) {
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -80,8 +80,8 @@
 }
 
 // ownerOf returns the target that holds a key, or nil and the key's state.
-func (l *Lender) ownerOf(key int) (*target, OwnerState) {
-	o := l.owner(key)
+func (l *Lender) ownerOf(now time.Duration, key int) (*target, OwnerState) {
+	o := l.owner(now, key)
 	if o.State != Held {
 		return nil, o.State
 	}
@@ -136,7 +136,7 @@
 // choose returns the target at which a request is expected to end first.
 func (l *Lender) choose(now time.Duration, r *Request) *target {
 	if r.Key != NoKey {
-		t, state := l.ownerOf(r.Key)
+		t, state := l.ownerOf(now, r.Key)
 		if state != Held || !t.available(now) || !l.hasRoom(now, t) {
 			return nil
 		}
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -42,17 +42,17 @@
 }
 
 // ownerOf is called with mu held.
-func (d *desk) ownerOf(key int) lending.Ownership {
+func (d *desk) ownerOf(now time.Duration, key int) lending.Ownership {
 	if d.keys != nil {
-		h, state := d.keys.Owner(key)
-		return lending.Ownership{Target: h.Target, State: lending.OwnerState(state)}
+		h, state, wait := d.keys.Owner(now, key)
+		return lending.Ownership{Target: h.Target, State: lending.OwnerState(state), Wait: wait}
 	}
 	// A desk that does not lead goes by the last record of the cell; a target
 	// that no longer holds the key says so and does not run the request.
 	if owner := recordedOwner(d.view, d.service, key); owner != "" {
 		return lending.Ownership{Target: owner, State: lending.Held}
 	}
-	return lending.Ownership{State: lending.Lost}
+	return lending.Ownership{State: lending.Lost, Wait: hold}
 }
 
 func recordedOwner(v *view.View, service string, key int) string {
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -11,8 +11,12 @@
 )
 
 // staleAfter is the age of what this VM knows from which on it asks a VM that
-// leads nothing: the store may turn this VM and all leaders away.
-const staleAfter = 600 * time.Millisecond
+// leads nothing: the store may turn this VM and all leaders away. The system's
+// log is read less often.
+const (
+	staleAfter       = 600 * time.Millisecond
+	systemStaleAfter = 1300 * time.Millisecond
+)
 
 // syncLoop exchanges views with the leaders, and with others when that is not
 // enough. An exchange that hangs does not hold up those with other VMs.
@@ -37,7 +41,8 @@
 // leader that is heard or while what this VM knows is old.
 func (s *Service) partners() []fleet.VM {
 	leaders, wanting := s.leaders()
-	wanting = wanting || s.view.Staleness(view.Targets) > staleAfter || s.view.Staleness(view.Operators) > staleAfter
+	wanting = wanting || s.view.Staleness(view.Targets) > staleAfter || s.view.Staleness(view.Operators) > staleAfter ||
+		s.view.Staleness(view.System) > systemStaleAfter
 	var out, others []fleet.VM
 	for _, vm := range s.view.VMs() {
 		switch {
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -29,8 +29,10 @@
 	startAge = 1500 * time.Millisecond
 	// systemAge is how old a leader's knowledge of the system's own log may
 	// grow: it confirms the leader's authority, which lasts 2.5 s.
-	systemAge         = 700 * time.Millisecond
-	followerSystemAge = 5 * time.Second
+	systemAge = 700 * time.Millisecond
+	// followerSystemAge lets other VMs confirm the authority of a leader that
+	// the store turns away, in time before it ends.
+	followerSystemAge = 1200 * time.Millisecond
 	poll              = 50 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 150 * time.Millisecond
