Use owners that shed at random, balance past a single hot key, larger retry share

Change: only a full target pauses; the planner goes on to the next busy target; repeats up to 0.16 of the requests.

--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -350,17 +350,22 @@
 	return pl.move(pl.mostUsed(), to, startShare*mean*to.Capacity)
 }
 
-// relieve moves load off the busiest target.
+// relieve moves load off the busiest target from which some can be moved: one
+// key may keep a target busy and cannot be cut.
 func (pl *planner) relieve(mean float64) bool {
-	from, to := pl.mostUsed(), pl.leastUsed()
-	if from == to || from.use() < busyEnough || from.use() < uneven*mean {
-		return false
-	}
-	amount := min((from.use()-mean)*from.Capacity, (mean-to.use())*to.Capacity)
-	if amount < worthMoving {
-		return false
+	byUse := slices.Clone(pl.all)
+	slices.SortStableFunc(byUse, func(a, b *candidateState) int { return cmp.Compare(b.use(), a.use()) })
+	to := pl.leastUsed()
+	for _, from := range byUse {
+		if from == to || from.use() < busyEnough || from.use() < uneven*mean {
+			return false
+		}
+		amount := min((from.use()-mean)*from.Capacity, (mean-to.use())*to.Capacity)
+		if amount >= worthMoving && pl.move(from, to, amount) {
+			return true
+		}
 	}
-	return pl.move(from, to, amount)
+	return false
 }
 
 // move cuts a piece of about the given load from the busiest range of a target.
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -326,3 +326,23 @@
 	l.Return(now+ms, Usage{ID: ids[0], Result: Answered, Took: 80 * ms})
 	assert.True(t, take(l)[100].Lent)
 }
+
+// Targets that shed at random report free slots: the next request for their
+// keys goes to them at once, and is not refused for want of an owner.
+func TestRandomSheddingLeavesOwnerUsable(t *testing.T) {
+	owner := func(time.Duration, int) Ownership { return Ownership{Target: "t0", State: Held} }
+	l := newLender(testConfig(), owner, pool(1)...)
+	ask := func(id uint64, now time.Duration) Decision {
+		r := request(id, now)
+		r.Key = 1
+		l.Ask(now, r)
+		return take(l)[id]
+	}
+	require.True(t, ask(1, 0).Lent)
+	l.Return(ms, Usage{ID: 1, Result: Shed, Load: &LoadReport{Running: 0, Slots: 3}})
+	assert.True(t, ask(2, 2*ms).Lent)
+	l.Return(3*ms, Usage{ID: 2, Result: Shed, Load: &LoadReport{Running: 3, Slots: 3}})
+	assert.Equal(t, Decision{}, ask(3, 4*ms), "waits for the full target")
+	l.Tick(3*ms + shedPause)
+	assert.True(t, take(l)[3].Lent)
+}
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -47,9 +47,10 @@
 	TargetInfo
 	known, usable bool
 	inFlight      int
-	slowness      float64 // work here relative to the mean of all targets
-	failing       float64 // share of failed requests, 0 to 1
-	avoidUntil    time.Duration
+	slowness      float64       // work here relative to the mean of all targets
+	failing       float64       // share of failed requests, 0 to 1
+	avoidUntil    time.Duration // could not be reached
+	fullUntil     time.Duration // said that it was full
 	avoidance     time.Duration
 	tokens        float64 // while cold
 	tokensAt      time.Duration
@@ -110,7 +111,7 @@
 
 // hasRoom tells whether a target may be sent one more request now.
 func (l *Lender) hasRoom(now time.Duration, t *target) bool {
-	if t.inFlight >= l.slotsOf(now, t) {
+	if t.inFlight >= l.slotsOf(now, t) || now < t.fullUntil {
 		return false
 	}
 	if !t.cold(now) {
@@ -182,7 +183,7 @@
 		t.answered[n.VM] = now
 		t.noteFailure(u.Result == Failed)
 	case Shed:
-		t.avoidUntil = max(t.avoidUntil, now+shedPause)
+		t.noteShed(now, u.Load)
 	case Refused:
 		t.avoid(now)
 		l.noteCrash(now, t)
@@ -195,6 +196,14 @@
 	}
 }
 
+// noteShed gives a target that was full a pause. One that sheds although it
+// reports free slots fails at random; a pause would only waste its slots.
+func (t *target) noteShed(now time.Duration, load *LoadReport) {
+	if load == nil || load.Running >= load.Slots {
+		t.fullUntil = now + shedPause
+	}
+}
+
 func (t *target) avoid(now time.Duration) {
 	t.avoidance = min(max(2*t.avoidance, firstAvoidance), maxAvoidance)
 	t.avoidUntil = now + t.avoidance
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -174,8 +174,8 @@
 const (
 	// retryShare and retryBurst keep below the retry budget of the sites, 0.2
 	// and 56 in 10 s, so that repeats of VMs without a leader have room.
-	retryShare     = 0.1
-	retryBurst     = 20
+	retryShare     = 0.16
+	retryBurst     = 30
 	soloRetryShare = 0.05
 	soloRetryBurst = 2
 )
