--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -34,9 +34,11 @@
 	// the store turns away, in time before it ends.
 	followerSystemAge = 1200 * time.Millisecond
 	poll              = 50 * time.Millisecond
-	// firstPause and longestPause bound the pause after a failed call.
-	firstPause   = 150 * time.Millisecond
-	longestPause = 600 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call. VMs that
+	// lead nothing wait longer: they learn of the store's return from leaders.
+	firstPause           = 150 * time.Millisecond
+	longestPause         = 600 * time.Millisecond
+	longestFollowerPause = 3 * time.Second
 	// outageAfter is how long calls fail until the store counts as away.
 	outageAfter = 800 * time.Millisecond
 	// returnGrace is how long after an outage the entries of targets that
@@ -133,8 +135,15 @@
 			continue
 		}
 		sleep(ctx, pause)
-		pause = min(2*pause, longestPause)
+		pause = min(2*pause, f.longestPause())
+	}
+}
+
+func (f *Feed) longestPause() time.Duration {
+	if f.view.Ready() && !f.roles.Leads() {
+		return longestFollowerPause
 	}
+	return longestPause
 }
 
 // maxAge returns how old the knowledge of a log may grow.
