--- /dev/null
+++ b/cmd/mangogatectl/explain_test.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The story of a request is spread over the VM that took it and the leader
+// that decided on it; collectors may put a time before each line.
+func TestExplainMergesLogsByTime(t *testing.T) {
+	dir := t.TempDir()
+	entry, leader := filepath.Join(dir, "entry"), filepath.Join(dir, "leader")
+	require.NoError(t, os.WriteFile(entry, []byte(
+		`  4.1 vm-1 {"@message":"request","@module":"vm-1.gateway","@timestamp":"2026-01-01T00:00:02Z","request":"r1","outcome":"refused: overload"}`+"\n"+
+			`not json r1`+"\n"), 0o600))
+	require.NoError(t, os.WriteFile(leader, []byte(
+		`{"@message":"slot refused","@module":"vm-2.cell","@timestamp":"2026-01-01T00:00:01Z","request":"r1","waiting":7,"target":""}`+"\n"+
+			`{"@message":"slot refused","@module":"vm-2.cell","@timestamp":"2026-01-01T00:00:01Z","request":"r11"}`+"\n"), 0o600))
+	var out bytes.Buffer
+	require.NoError(t, explainFiles(&out, "r1", []string{entry, leader}))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	assert.Contains(t, lines[0], "waiting=7")
+	assert.Contains(t, lines[1], "outcome=refused: overload")
+	assert.ErrorContains(t, explainFiles(&out, "r9", []string{entry}), "no line about request")
+}
--- a/cmd/mangogatectl/main.go
+++ b/cmd/mangogatectl/main.go
@@ -31,7 +31,7 @@
 			&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the key of the client certificate"},
 		},
 		Commands: []*cli.Command{
-			validateCommand(), applyCommand(), diffCommand(), statusCommand(), ownerCommand(), timelineCommand(),
+			validateCommand(), applyCommand(), diffCommand(), statusCommand(), ownerCommand(), timelineCommand(), explainCommand(),
 			drainCommand("data-centre", control.ScopeDataCentre, "a data centre"),
 			drainCommand("vm", control.ScopeVM, "a VM"),
 			drainCommand("target", control.ScopeTarget, "a target"),
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -141,6 +141,11 @@
 	Lost                         // nobody may be given the key yet
 )
 
+// String returns the state's name.
+func (s OwnerState) String() string {
+	return [...]string{"none", Held: "held", Moving: "moving", Lost: "lost"}[s]
+}
+
 // Ownership is who holds a key.
 type Ownership struct {
 	Target string
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -7,9 +7,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/retry"
+	"github.com/mangogate/mangogate/node/eventlog"
 	"github.com/mangogate/mangogate/node/view"
 )
 
@@ -19,6 +21,7 @@
 	service string
 	now     func() time.Duration
 	view    *view.View
+	logger  hclog.Logger
 	// coldShare is this VM's part of the rate of a cold target.
 	coldShare float64
 
@@ -35,6 +38,7 @@
 func newDesk(s *Service, service string, cfg lending.Config) *desk {
 	d := &desk{
 		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
+		logger:  s.logger.With("service", service),
 		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
 	}
 	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
@@ -96,6 +100,7 @@
 	}
 	select {
 	case dec := <-decided:
+		d.logDecision(a, dec)
 		return dec, nil
 	case <-ctx.Done():
 		go d.returnUnused(decided)
@@ -103,6 +108,29 @@
 	}
 }
 
+// logDecision logs refusals, and all decisions on sampled requests, with what
+// decided them.
+func (d *desk) logDecision(a LendArgs, dec lending.Decision) {
+	if dec.Lent && !eventlog.Sampled(a.RequestID) {
+		return
+	}
+	what := "slot refused"
+	if dec.Lent {
+		what = "slot lent"
+	}
+	d.mu.Lock()
+	waiting, seen := d.lender.Waiting(), d.seen
+	var owner lending.Ownership
+	if a.Key != lending.NoKey {
+		owner = d.ownerOf(d.now(), a.Key)
+	}
+	d.mu.Unlock()
+	d.logger.Info(what, "request", a.RequestID, "vm", a.VM, "route", a.Route, "priority", a.Priority, "key", a.Key,
+		"owner", owner.Target, "owner_state", owner.State, "owner_wait", owner.Wait, "target", dec.Target, "reason", dec.Reason,
+		"retry_after", dec.RetryAfter, "waited", dec.Waited, "waiting", waiting, "left", a.Deadline, "repeat", a.Repeat,
+		"view", seen, "view_age", d.view.Staleness(view.Targets))
+}
+
 func (d *desk) returnUnused(decided chan lending.Decision) {
 	if dec := <-decided; dec.Lent {
 		d.giveBack(lending.Usage{ID: dec.ID, Result: lending.Unused})
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/node/view"
@@ -63,13 +62,12 @@
 type lead struct {
 	*desk
 	s      *Service
-	logger hclog.Logger
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
 func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
-	l := &lead{desk: newDesk(s, service, leaderConfig()), s: s, logger: s.logger.With("service", service), done: make(chan struct{})}
+	l := &lead{desk: newDesk(s, service, leaderConfig()), s: s, done: make(chan struct{})}
 	l.keys = m
 	if m != nil {
 		l.load = &keyspace.Load{}
--- a/node/eventlog/eventlog.go
+++ b/node/eventlog/eventlog.go
@@ -4,6 +4,8 @@
 package eventlog
 
 import (
+	"fmt"
+	"hash/fnv"
 	"io"
 	"sync"
 	"time"
@@ -32,6 +34,17 @@
 	return &logger{Logger: base, budgets: b}, q.flush
 }
 
+// sampleEvery is the share of the requests that are logged although they go well.
+const sampleEvery = 64
+
+// Sampled tells whether all VMs log the decisions on a request, also those
+// that end well.
+func Sampled(requestID string) bool {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, requestID) // a hash does not fail
+	return h.Sum32()%sampleEvery == 0
+}
+
 // logger applies the budgets. Errors are always written.
 type logger struct {
 	hclog.Logger
@@ -41,14 +54,14 @@
 // Info implements hclog.Logger.
 func (l *logger) Info(msg string, args ...any) {
 	if l.budgets.take(msg, l.Logger) {
-		l.Logger.Info(msg, args...)
+		l.Logger.Info(msg, readable(args)...)
 	}
 }
 
 // Warn implements hclog.Logger.
 func (l *logger) Warn(msg string, args ...any) {
 	if l.budgets.take(msg, l.Logger) {
-		l.Logger.Warn(msg, args...)
+		l.Logger.Warn(msg, readable(args)...)
 	}
 }
 
@@ -58,6 +71,16 @@
 // With implements hclog.Logger.
 func (l *logger) With(args ...any) hclog.Logger { return &logger{l.Logger.With(args...), l.budgets} }
 
+// readable turns durations and states into text; JSON would show numbers.
+func readable(args []any) []any {
+	for i, a := range args {
+		if s, ok := a.(fmt.Stringer); ok {
+			args[i] = s.String()
+		}
+	}
+	return args
+}
+
 type bucket struct {
 	tokens  float64
 	at      time.Time
--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mangogate/mangogate/node/cell"
+	"github.com/mangogate/mangogate/node/eventlog"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -73,7 +74,7 @@
 func (q *request) done(outcome string, status int, target string, err error) {
 	took := q.g.clock.Now() - q.arrived
 	q.g.stats.count(q.service, status, took)
-	if outcome == "answered" && status < http.StatusInternalServerError && err == nil {
+	if outcome == "answered" && status < http.StatusInternalServerError && err == nil && !eventlog.Sampled(q.ID) {
 		return
 	}
 	route := ""
