Cut out a key that alone keeps its target busy and give it a fast target

The planner never cut such a key out, so its neighbours' keys queued behind it. Change: such a key becomes a range of its own, what is beside it moves away, and it moves to a much faster target. What binds then: one owner a key. Tests: TestHotKeyGetsFastTargetForItself, seen to fail before.

--- a/core/keyspace/load.go
+++ b/core/keyspace/load.go
@@ -7,7 +7,7 @@
 
 // loadHalfLife is the time in which an old sample loses half of its weight.
 // Hot keys have to show within a second or two.
-const loadHalfLife = time.Second
+const loadHalfLife = 2 * time.Second
 
 // Load sums the work that is asked of each key, in slots that are kept busy.
 type Load struct {
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -22,6 +22,10 @@
 	// second as a share of the targets: a hot spot may need many of them.
 	movesPerPlan = 6
 	moveShare    = 0.3
+	// busyAlone is the share of a target's slots that one key has to need to be
+	// given to a target that is muchFaster.
+	busyAlone  = 0.8
+	muchFaster = 1.3
 	// worthMoving is the least load, in slots, for which a range is cut.
 	worthMoving = 0.1
 	// manyParts is the mean number of ranges a target from which on neighbours
@@ -303,7 +307,7 @@
 	out := pl.parts[:1]
 	for _, p := range pl.parts[1:] {
 		last := out[len(out)-1]
-		if !last.joins(p) {
+		if !last.joins(p) || pl.hotAlone(last) || pl.hotAlone(p) {
 			out = append(out, p)
 			continue
 		}
@@ -316,6 +320,12 @@
 	pl.parts = out
 }
 
+// hotAlone tells whether a part is one key that keeps much of its target busy.
+func (pl *planner) hotAlone(p *part) bool {
+	s := pl.state[p.Owner]
+	return p.From == p.To && s != nil && pl.loadOf(p) >= busyAlone/2*s.Capacity
+}
+
 // joins tells whether two neighbours are held by the same owner.
 func (p *part) joins(next *part) bool {
 	settled := func(q *part) bool { return q.granted && q.accepted && len(q.prior) == 0 }
@@ -327,6 +337,7 @@
 	if pl.merge(); pl.change {
 		return
 	}
+	pl.isolate()
 	var load, capacity float64
 	for _, s := range pl.all {
 		load += s.load
@@ -334,7 +345,7 @@
 	}
 	mean := load / max(capacity, 0.01)
 	for range max(movesPerPlan, int(moveShare*float64(len(pl.all)))) {
-		if !pl.fillEmpty(mean) && !pl.relieve(mean) {
+		if !pl.fillEmpty(mean) && !pl.promote() && !pl.relieve(mean) {
 			return
 		}
 	}
@@ -368,37 +379,89 @@
 	return false
 }
 
-// move cuts a piece of about the given load from the busiest range of a target.
+// move gives another target about the given load, from the busiest range of a
+// target that can be given or cut.
 func (pl *planner) move(from, to *candidateState, amount float64) bool {
 	if from == to || from.parts == 0 {
 		return false
 	}
-	var best *part
+	var movable []*part
 	for _, p := range pl.parts {
 		// A range that is still on its way is left alone.
-		if p.Owner != from.Holder || len(p.prior) > 0 || p.Fence == 0 {
-			continue
+		if p.Owner == from.Holder && len(p.prior) == 0 && p.Fence != 0 {
+			movable = append(movable, p)
 		}
-		if best == nil || pl.loadOf(p) > pl.loadOf(best) {
-			best = p
+	}
+	slices.SortStableFunc(movable, func(a, b *part) int { return cmp.Compare(pl.loadOf(b), pl.loadOf(a)) })
+	for _, p := range movable {
+		if pl.movePart(p, from, to, amount) {
+			return true
 		}
 	}
-	if best == nil {
+	return false
+}
+
+func (pl *planner) movePart(p *part, from, to *candidateState, amount float64) bool {
+	load := pl.loadOf(p)
+	if load < worthMoving/2 && to.parts > 0 {
 		return false
 	}
-	if load := pl.loadOf(best); load <= 1.2*amount {
+	if load <= 1.2*amount {
 		if from.parts > 1 {
-			pl.give(best, to)
+			pl.give(p, to)
 			return true
 		}
 		amount = load / 2
 	}
-	if to.parts >= pl.m.cfg.MaxParts {
-		return false
+	return to.parts < pl.m.cfg.MaxParts && pl.cutOff(p, to, amount)
+}
+
+// isolate cuts out a key that alone keeps its target busy, so that what is
+// beside it can be moved away.
+func (pl *planner) isolate() {
+	for _, p := range slices.Clone(pl.parts) {
+		s := pl.state[p.Owner]
+		if s == nil || p.From == p.To || len(p.prior) > 0 || p.Fence == 0 || pl.loadOf(p) < busyAlone*s.Capacity {
+			continue
+		}
+		hot := p.From
+		for k := p.From; k <= p.To; k++ {
+			if pl.load.work[k] > pl.load.work[hot] {
+				hot = k
+			}
+		}
+		if pl.load.Of(hot, hot) < busyAlone*s.Capacity {
+			continue
+		}
+		if hot > p.From {
+			p = pl.split(p, hot-1)
+		}
+		if hot < p.To {
+			pl.split(p, hot)
+		}
+		pl.change = true
 	}
-	return pl.cutOff(best, to, amount)
 }
 
+// promote gives a key that alone keeps its target busy to a faster one.
+func (pl *planner) promote() bool {
+	for _, p := range pl.parts {
+		from := pl.state[p.Owner]
+		if p.From != p.To || from == nil || len(p.prior) > 0 || p.Fence == 0 || pl.loadOf(p) < busyAlone*from.Capacity {
+			continue
+		}
+		to := slices.MaxFunc(pl.all, func(a, b *candidateState) int { return cmp.Compare(a.spare(), b.spare()) })
+		if to != from && to.Capacity >= muchFaster*from.Capacity && to.spare() >= from.Capacity {
+			pl.give(p, to)
+			return true
+		}
+	}
+	return false
+}
+
+// spare returns the slots that a target has left.
+func (c *candidateState) spare() float64 { return c.Capacity - c.load }
+
 // cutOff gives one end of a part to another target, the end whose neighbour it
 // already owns if there is one.
 func (pl *planner) cutOff(p *part, to *candidateState, amount float64) bool {
--- a/core/keyspace/plan_test.go
+++ b/core/keyspace/plan_test.go
@@ -89,6 +89,28 @@
 	assert.Less(t, most, 2.5, "%v", by)
 }
 
+// A key that needs more than a slow target has goes to a fast one, and what
+// else that one owns goes to others.
+func TestHotKeyGetsFastTargetForItself(t *testing.T) {
+	m := New(testConfig(), nil, 0)
+	load := &Load{}
+	c := many(6)
+	for i := range c {
+		c[i].Capacity = 2
+	}
+	c[3].Capacity = 5
+	rounds(t, m, c, load, 5)
+	load.Add(100, 12*time.Second)
+	for k := 0; k < Keys; k += 512 {
+		load.Add(k, 60*time.Millisecond)
+	}
+	rounds(t, m, c, load, 20)
+	hot, _, _ := m.Owner(0, 100)
+	_, by := busiest(m, load)
+	assert.Equal(t, "t03", hot.Target, "%v", by)
+	assert.Less(t, by["t03"]-load.Of(100, 100), 0.3, "%v", by)
+}
+
 // A target that joins gets keys although nothing is overloaded.
 func TestNewTargetGetsKeys(t *testing.T) {
 	m := New(testConfig(), nil, 0)
