Keep the place of returning writes only; name the target of unknown outcomes

Change: only writes keep their place, and only in the queue's order. Tests: TestRefusedReadDoesNotAgeOthers (seen to fail before), TestReturningWriteKeepsItsPlace.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Targets for development; see README.md.
 
-MODULES := ./core/... ./node/... ./standin/... ./cmd/...
+MODULES := ./core/... ./node/... ./platform/... ./standin/... ./cmd/...
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: run test race lint build soak fuzz measure capacity
+.PHONY: run test race lint build soak rounds fuzz measure capacity
 
 run: ## Runs the demo deployment on loopback.
 	go run ./cmd/mangogate demo --for 10s
@@ -14,23 +14,28 @@
 # The tests with processes run by themselves: they check times, and property
 # tests beside them take all processors. Their results are never cached: the go
 # command does not see that they depend on the programs that they build.
-UNITS := ./core/... ./node/... ./standin/... ./cmd/mangogate/... ./cmd/mangogatectl/...
+UNITS := ./core/... ./node/... ./platform/... ./standin/... ./cmd/mangogate/... ./cmd/mangogatectl/...
 
 test: ## Runs all tests.
 	go test $(UNITS)
 	go test -count=1 -timeout 30m ./cmd/integration
+	go test -count=1 -timeout 10m ./cmd/soak
 
 race: ## Runs the tests with the race detector, without those that start processes.
 	go test -race $(UNITS)
 
 lint: ## Checks formatting, vet and staticcheck.
-	@files=$$(gofmt -l core node standin cmd); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+	@files=$$(gofmt -l core node platform standin cmd); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
 	go vet $(MODULES)
 	go run $(STATICCHECK) $(MODULES)
 
 N ?= 10
 
-soak: ## Repeats the integration tests N times with other seeds.
+soak: ## Runs the fault soak with N fresh seeds, or with SEEDS=1,2,3.
+	MANGOGATE_SOAK_SEEDS=$${SEEDS:-$$(od -An -N$$(( 2 * $(N) )) -w2 -tu2 -v /dev/urandom | tr -d ' ' | paste -sd,)} \
+		go test -count=1 -timeout 3h -v ./cmd/soak
+
+rounds: ## Repeats the integration tests N times with other seeds.
 	@for i in $$(seq 1 $(N)); do \
 		seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "round $$i, MANGOGATE_SEED=$$seed"; \
 		MANGOGATE_SEED=$$seed go test ./cmd/integration -count=1 || exit 1; \
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -33,7 +33,8 @@
 	Avoid      string        // target that failed the request, or ""
 	Print      quarantine.Fingerprint
 
-	missed bool // its objective, while it waited
+	missed bool          // its objective, while it waited
+	since  time.Duration // place in the queue: earlier than Arrived if it was refused before
 }
 
 // Reason says why a request is refused.
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangogate/mangogate/core/quarantine"
 	"github.com/mangogate/mangogate/core/retry"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -346,3 +347,50 @@
 	l.Tick(3*ms + shedPause)
 	assert.True(t, take(l)[3].Lent)
 }
+
+// Many callers read one hot thing. The refusal of one must not make the others
+// look as if they had waited since then: they would be refused at once.
+func TestRefusedReadDoesNotAgeOthers(t *testing.T) {
+	state := Moving
+	owner := func(time.Duration, int) Ownership { return Ownership{Target: "t0", State: state} }
+	l := newLender(testConfig(), owner, pool(1)...)
+	ask := func(id uint64, now time.Duration) {
+		r := request(id, now)
+		r.Key, r.Print = 5, 77
+		l.Ask(now, r)
+	}
+	ask(1, 0)
+	l.Tick(ownerWait + ms)
+	require.Equal(t, NoOwner, take(l)[1].Reason)
+	ask(2, ownerWait+2*ms)
+	l.Tick(ownerWait + 3*ms)
+	assert.Empty(t, take(l))
+}
+
+// A write that comes back after a refusal goes before those that came later
+// than its first attempt.
+func TestReturningWriteKeepsItsPlace(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	ids := fill(l, 0, 3)
+	write := func(id uint64, now time.Duration, print quarantine.Fingerprint) {
+		r := request(id, now)
+		r.Idempotent, r.Print = false, print
+		l.Ask(now, r)
+	}
+	for i := range uint64(60) {
+		write(i+1, ms, quarantine.Fingerprint(i+1))
+	}
+	var refused quarantine.Fingerprint
+	for id, d := range take(l) {
+		if !d.Lent {
+			refused = quarantine.Fingerprint(id)
+		}
+	}
+	require.NotZero(t, refused)
+	l.Tick(1190 * ms) // refuses all that wait
+	take(l)
+	write(200, 1195*ms, 999)
+	write(201, 1196*ms, refused)
+	l.Return(1197*ms, Usage{ID: ids[0], Result: Answered, Took: 50 * ms})
+	assert.True(t, take(l)[201].Lent)
+}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -1,6 +1,7 @@
 package lending
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,13 +30,14 @@
 	ownerWait = 250 * time.Millisecond
 )
 
-// refusal remembers a request that was told to come back.
+// refusal remembers a write that was told to come back: it keeps its place. A
+// read cannot be told from those of other callers for the same thing.
 type refusal struct {
-	arrived time.Duration
-	at      time.Duration
+	since time.Duration
+	at    time.Duration
 }
 
-// queue holds requests by priority, then by arrival.
+// queue holds requests by priority, then by the time since when they wait.
 type queue []*Request
 
 func (q *queue) add(r *Request) {
@@ -52,13 +54,7 @@
 	if a.Priority != b.Priority {
 		return a.Priority - b.Priority
 	}
-	switch {
-	case a.Arrived < b.Arrived:
-		return -1
-	case a.Arrived > b.Arrived:
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.since, b.since)
 }
 
 // next returns the place of the request to serve first: the first one that can
@@ -117,8 +113,9 @@
 	} else if !l.budget.Allow(now) {
 		return Decision{Reason: NoBudget, RetryAfter: minRetryAfter}, true
 	}
-	if earlier, back := l.refused[r.Print]; back && r.Print != 0 {
-		r.Arrived = min(r.Arrived, earlier.arrived)
+	r.since = r.Arrived
+	if earlier, back := l.refused[r.Print]; back && !r.Idempotent {
+		r.since = min(r.since, earlier.since)
 	}
 	wait, reason := l.expectedWait(now, r)
 	if reason != "" {
@@ -342,8 +339,8 @@
 	d.RetryAfter = min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
 	d.RetryAfter += time.Duration(retrySpread * l.rng.Float64() * float64(d.RetryAfter))
 	l.out = append(l.out, d)
-	if len(l.refused) < maxRefusals && r.Print != 0 {
-		l.refused[r.Print] = refusal{arrived: r.Arrived, at: now}
+	if len(l.refused) < maxRefusals && !r.Idempotent && r.Print != 0 {
+		l.refused[r.Print] = refusal{since: r.since, at: now}
 	}
 }
 
--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -51,13 +51,13 @@
 }
 
 // unknown answers a request that may have run.
-func (q *request) unknown(reason, by string) {
+func (q *request) unknown(reason, target string) {
 	status := http.StatusBadGateway
 	if q.g.clock.Now() >= q.deadline {
 		status = http.StatusGatewayTimeout
 	}
 	q.write(status, problem{"unknown", reason, q.ID})
-	q.done("unknown: "+reason, status, by, nil)
+	q.done("unknown: "+reason, status, target, nil)
 }
 
 func (q *request) write(status int, p problem) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -266,7 +266,7 @@
 // notLent answers a request that no target is to get (any more).
 func (q *request) notLent(slot cell.Slot) {
 	if q.mayHave {
-		q.unknown("not sent again: "+string(slot.Reason), slot.By)
+		q.unknown("not sent again: "+string(slot.Reason), q.avoid)
 		return
 	}
 	q.refuse(string(slot.Reason), slot.RetryAfter)
@@ -278,7 +278,7 @@
 	case q.r.Context().Err() != nil:
 		q.done("caller-left", 0, "", err)
 	case q.mayHave:
-		q.unknown("its time ran out", "")
+		q.unknown("its time ran out", q.avoid)
 	default:
 		q.refuse("deadline", startRetryAfter)
 	}
@@ -338,7 +338,7 @@
 		return false
 	}
 	if q.mayHave {
-		q.unknown("no target ran it again", slot.By)
+		q.unknown("no target ran it again", slot.Target)
 	} else {
 		q.refuse("targets-full", startRetryAfter)
 	}
@@ -361,7 +361,7 @@
 	case again:
 		return false
 	case q.mayHave:
-		q.unknown("no answer from target", slot.By)
+		q.unknown("no answer from target", slot.Target)
 	default:
 		q.refuse("unreachable", startRetryAfter)
 	}
--- a/standin/holder/holder.go
+++ b/standin/holder/holder.go
@@ -42,7 +42,6 @@
 	busy    sync.Cond
 	shed    bool
 	dead    bool
-	leaving time.Time
 }
 
 // New returns a target.
