Write a record without the earlier holders once they have released

Change: a leader with nothing else to write for 1 s writes the assignments without them. Test: TestRecordForgetsHoldersThatReleased (the old code proposes nothing).

--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -132,8 +132,11 @@
 	calls   map[uint64]*call
 	nextID  uint64
 	pending *proposal
-	failing map[Holder]time.Duration // since when calls to a target have no answer
-	ended   map[Holder]bool          // holders whose process is known to have ended
+	// recordsPrior is set if the last record names earlier holders.
+	recordsPrior bool
+	committedAt  time.Duration
+	failing      map[Holder]time.Duration // since when calls to a target have no answer
+	ended        map[Holder]bool          // holders whose process is known to have ended
 }
 
 // proposal is a change that waits for the store.
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -32,7 +32,7 @@
 	m := New(testConfig(), nil, 0)
 	_, ok := m.Propose(0, candidates(ids...), &Load{})
 	require.True(t, ok)
-	m.Committed(1)
+	m.Committed(0, 1)
 	answerAll(m, 0, Accepted)
 	return m
 }
@@ -63,7 +63,7 @@
 	}
 	_, ok := m.Propose(time.Second, candidates("a", "b"), &Load{})
 	require.True(t, ok, "the ended holder must be replaced although it is still listed")
-	m.Committed(2)
+	m.Committed(0, 2)
 	answerAll(m, time.Second+time.Millisecond, Accepted)
 	now, state, _ := m.Owner(0, 0)
 	assert.NotEqual(t, owner, now)
@@ -81,7 +81,7 @@
 	}
 	_, ok := m.Propose(time.Millisecond, candidates(rest), &Load{})
 	require.True(t, ok)
-	m.Committed(2)
+	m.Committed(0, 2)
 	end := time.Duration(float64(testHold) * 1.02)
 	for now := 2 * time.Millisecond; now < end; now += 50 * time.Millisecond {
 		for _, a := range m.Step(now, runs) {
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -26,7 +26,7 @@
 	now += time.Second
 	renewed := answerAll(m, now, Accepted)
 	require.NotEmpty(t, renewed, "renewals go on while the store is slow")
-	m.Committed(2)
+	m.Committed(0, 2)
 	for end := now + testHold; now < end; now += 50 * time.Millisecond {
 		for _, a := range m.Step(now, runs) {
 			require.False(t, a.Kind == Grant && a.From == 0, "granted at %s while %s holds the key", now, owner.Target)
@@ -260,7 +260,7 @@
 	if m.commitAt > 0 && m.now >= m.commitAt {
 		m.commitAt = 0
 		m.fence++
-		m.m.Committed(m.fence)
+		m.m.Committed(m.now, m.fence)
 		m.stored = m.m.Assignments()
 	}
 	m.send(m.m)
@@ -283,5 +283,5 @@
 	m.m = New(testConfig(), m.m.Assignments(), m.now+modelAuthority+testConfig().longest())
 	m.m.TakeOver()
 	m.fence++
-	m.m.Committed(m.fence)
+	m.m.Committed(m.now, m.fence)
 }
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -70,7 +70,7 @@
 	if !pl.change {
 		pl.balance()
 	}
-	if !pl.change {
+	if !pl.change && !m.settled(now) {
 		return nil, false
 	}
 	m.pending = &proposal{pl.parts}
@@ -81,6 +81,19 @@
 	return out, true
 }
 
+// settlePause is how long the record may name earlier holders that are gone. A
+// successor would wait for them, though their keys are served.
+const settlePause = time.Second
+
+// settled tells whether the record names earlier holders that all have been
+// released or waited out since.
+func (m *Manager) settled(now time.Duration) bool {
+	if !m.recordsPrior || now < m.committedAt+settlePause {
+		return false
+	}
+	return !slices.ContainsFunc(m.parts, func(p *part) bool { return len(p.prior) > 0 })
+}
+
 // TakeOver proposes the same owners with new fences, which ends the authority
 // of the previous manager at all targets that can be reached.
 func (m *Manager) TakeOver() []Assignment {
@@ -99,7 +112,7 @@
 }
 
 // Committed makes the open proposal effective. Fence is the number of its record.
-func (m *Manager) Committed(fence int64) {
+func (m *Manager) Committed(now time.Duration, fence int64) {
 	if m.pending == nil {
 		return
 	}
@@ -107,6 +120,8 @@
 		p.inherit(m.parts)
 	}
 	m.parts, m.pending = m.pending.parts, nil
+	m.committedAt = now
+	m.recordsPrior = slices.ContainsFunc(m.parts, func(p *part) bool { return len(p.prior) > 0 })
 	for _, p := range m.parts {
 		if p.Fence == 0 && p.Owner.Target != "" {
 			p.Fence = fence
--- a/core/keyspace/plan_test.go
+++ b/core/keyspace/plan_test.go
@@ -26,7 +26,7 @@
 		if _, ok := m.Propose(now, c, load); !ok {
 			return n
 		}
-		m.Committed(int64(n + 10))
+		m.Committed(now, int64(n+10))
 		for range 3 {
 			answerAll(m, now, Accepted)
 		}
@@ -130,7 +130,7 @@
 	m := settled(t, "a", "b", "c")
 	_, ok := m.Propose(time.Second, candidates("a", "b"), &Load{})
 	require.True(t, ok)
-	m.Committed(5)
+	m.Committed(time.Second, 5)
 	released := answerAll(m, time.Second, Accepted)
 	kinds := map[ActionKind]int{}
 	for _, a := range released {
@@ -149,3 +149,30 @@
 	}
 	assert.Equal(t, kinds[Release], granted)
 }
+
+// A leader that is lost after a move is done must not leave a record that
+// makes its successor wait for the earlier holder: the keys are served.
+func TestRecordForgetsHoldersThatReleased(t *testing.T) {
+	m := settled(t, "a", "b", "c")
+	_, ok := m.Propose(time.Second, candidates("a", "b"), &Load{})
+	require.True(t, ok)
+	m.Committed(time.Second, 5)
+	answerAll(m, time.Second, Accepted)
+	answerAll(m, time.Second, Accepted)
+	_, ok = m.Propose(1500*time.Millisecond, candidates("a", "b"), &Load{})
+	assert.False(t, ok, "not worth a record of its own yet")
+	record, ok := m.Propose(2*time.Second+time.Millisecond, candidates("a", "b"), &Load{})
+	require.True(t, ok)
+	for _, a := range record {
+		assert.Empty(t, a.Prior)
+		assert.NotZero(t, a.Fence, "no key changes hands")
+	}
+	m.Committed(2*time.Second, 6)
+	_, ok = m.Propose(4*time.Second, candidates("a", "b"), &Load{})
+	assert.False(t, ok)
+	successor := New(testConfig(), record, 9*time.Second)
+	successor.TakeOver()
+	successor.Committed(5*time.Second, 7)
+	_, state, _ := successor.Owner(5*time.Second, 0)
+	assert.Equal(t, Held, state)
+}
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -90,7 +90,7 @@
 		return errors.Wrap(err, "write the claim")
 	}
 	if m != nil {
-		m.Committed(number)
+		m.Committed(s.clock.Now(), number)
 	}
 	s.begin(svc.Name, m, number)
 	return nil
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -210,6 +210,6 @@
 		l.logger.Warn("assignments were not written", "ranges", len(assignments), "error", err)
 		return
 	}
-	l.keys.Committed(number)
+	l.keys.Committed(l.now(), number)
 	l.logger.Info("assignments written", "number", number, "ranges", len(assignments), "took", l.now()-began)
 }
