--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -25,7 +25,7 @@
 	keyedService = "board"
 	poolService  = "desk"
 	targetSlots  = 3
-	targetWork   = 8 * time.Millisecond
+	targetWork   = 30 * time.Millisecond
 	entryPause   = 300 * time.Millisecond // between two entries of a target
 	grace        = 6 * time.Second
 )
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -186,6 +186,20 @@
 	assert.Greater(t, len(seen), n/2)
 }
 
+// Requests without a key are lent a slot at once also by a lender that knows
+// owners: it must not wait for the next tick.
+func TestSlotIsLentWithoutTick(t *testing.T) {
+	owner := func(time.Duration, int) Ownership { return Ownership{State: Lost} }
+	l := newLender(testConfig(), owner, pool(1)...)
+	l.Ask(0, request(1, 0))
+	require.True(t, take(l)[1].Lent)
+	ids := fill(l, 0, 2)
+	l.Ask(0, request(2, 0))
+	require.Empty(t, take(l))
+	l.Return(ms, Usage{ID: ids[0], Result: Answered, Took: ms})
+	assert.True(t, take(l)[2].Lent)
+}
+
 // One hot key keeps its owner busy; requests for keys of other owners must not
 // wait behind those for it.
 func TestHotKeyDoesNotHoldUpOtherOwners(t *testing.T) {
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -193,8 +193,8 @@
 	l.waiting.add(r)
 }
 
-// dispatch lends free slots: those of one target if its keys bind requests to
-// it, otherwise all.
+// dispatch lends free slots: first those of a target to the requests that its
+// keys bind to it.
 func (l *Lender) dispatch(now time.Duration, freed *target) {
 	if l.queued == 0 {
 		return
@@ -202,9 +202,7 @@
 	if freed != nil && len(freed.queue) > 0 {
 		l.serve(now, &freed.queue)
 	}
-	if l.owner == nil {
-		l.serve(now, &l.waiting)
-	}
+	l.serve(now, &l.waiting)
 }
 
 // serve lends slots to the requests of a queue until none is free.
--- /dev/null
+++ b/node/gateway/gateway_test.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/node/cell"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/upstream"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// plainWire is a Wire with headers of its own.
+type plainWire struct{}
+
+func (plainWire) Request(h http.Header) (Meta, error) {
+	ms, _ := strconv.Atoi(h.Get("Wait-Ms")) // absent means no limit
+	return Meta{ID: h.Get("Id"), Deadline: time.Duration(ms) * time.Millisecond, Key: lending.NoKey}, nil
+}
+
+func (plainWire) ToTarget(h http.Header, _ Meta, target string, left time.Duration) {
+	h.Set("To", target)
+	h.Set("Wait-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+func (plainWire) Belongs(m Meta) func(http.Header) bool {
+	return func(h http.Header) bool { return h.Get("Id") == m.ID }
+}
+
+func (plainWire) FromTarget(status int, h http.Header) TargetSays {
+	return TargetSays{NotRun: h.Get("Not-Run") != "", WrongOwner: status == http.StatusMisdirectedRequest}
+}
+
+func (plainWire) Refuse(h http.Header, _ Meta, after time.Duration) {
+	h.Set("Retry-After", after.String())
+}
+
+// target is a listener that counts what reaches it.
+type target struct {
+	address  string
+	requests atomic.Int32
+}
+
+func newTarget(t *testing.T, handle func(c net.Conn, r *http.Request)) *target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	tg := &target{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body) // the end shows at the next request
+					tg.requests.Add(1)
+					handle(c, r)
+				}
+			}()
+		}
+	}()
+	return tg
+}
+
+func respond(c net.Conn, r *http.Request, status, extra, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nId: "+r.Header.Get("Id")+"\r\n"+extra+"Content-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+}
+
+// newGateway returns a gateway on a VM that reaches no other VM.
+func newGateway(t *testing.T, configured bool, targets ...*target) *httptest.Server {
+	c, registry, logger := clock.New(), metrics.NewRegistry(), hclog.NewNullLogger()
+	v := view.New(c.Now, logger)
+	self := fleet.VM{ID: "vm", DataCentre: "z", PeerAddress: "127.0.0.1:1", Boot: "b"}
+	if configured {
+		route := func(name string, idempotent bool) fleet.Route {
+			return fleet.Route{Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Idempotent: idempotent, Timeout: time.Second,
+				Objective: 300 * time.Millisecond, Attempts: 2, Parts: []fleet.RoutePart{{Service: "s", Weight: 1}}}
+		}
+		v.Apply(view.Operators, []view.Change{{Log: view.Operators, Key: "config", Config: &fleet.Config{
+			Version: 1, Routes: []fleet.Route{route("read", true), route("write", false)},
+			Services: []fleet.Service{{Name: "s"}}, Limits: fleet.Limits{BodyBytes: 1000},
+		}}}, 1, c.Now())
+	}
+	var changes []view.Change
+	for i, tg := range targets {
+		id := "t" + strconv.Itoa(i)
+		changes = append(changes, view.Change{Log: view.Targets, Key: id, Offset: int64(i),
+			Target: &fleet.Target{ID: id, Service: "s", Address: tg.address, DataCentre: "z", Slots: 3}})
+	}
+	v.Apply(view.Targets, changes, int64(len(changes)), c.Now())
+	v.Apply(view.System, nil, 0, c.Now())
+	server := peer.NewServer("127.0.0.1:0", nil, nil, logger, registry)
+	cells, err := cell.New(cell.Config{Self: self, View: v, Clock: c, Peers: peer.NewClient(nil, nil, registry), Server: server, Logger: logger, Registry: registry})
+	require.NoError(t, err)
+	g := New(Config{VM: self, Wire: plainWire{}, View: v, Cells: cells, Targets: upstream.New(net.Dialer{}, registry), Clock: c, Logger: logger, Registry: registry})
+	s := httptest.NewServer(g)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func call(t *testing.T, s *httptest.Server, method, path, body string) (*http.Response, string) {
+	req, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Host = "h.example"
+	req.Header.Set("Id", "r1")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(content)
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	s := newGateway(t, true, newTarget(t, func(c net.Conn, r *http.Request) { respond(c, r, "201 Created", "Proof: p\r\n", r.RequestURI) }))
+	resp, body := call(t, s, http.MethodPost, "/write/a%2Fb?q=1", "x")
+	assert.Equal(t, http.StatusCreated, resp.StatusCode)
+	assert.Equal(t, "/write/a%2Fb?q=1", body)
+	assert.Equal(t, "p", resp.Header.Get("Proof"))
+}
+
+// A write whose connection ends may have run: it is not sent again, and the
+// caller is not told that it has not run.
+func TestBrokenWriteIsUnknownAndSentOnce(t *testing.T) {
+	tg := newTarget(t, func(c net.Conn, _ *http.Request) { c.Close() })
+	s := newGateway(t, true, tg, newTarget(t, func(c net.Conn, _ *http.Request) { c.Close() }))
+	resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	assert.Contains(t, body, `"unknown"`)
+	assert.Empty(t, resp.Header.Get("Retry-After"))
+}
+
+// A read is sent to another target after a failure.
+func TestBrokenReadIsSentAgain(t *testing.T) {
+	var n atomic.Int32
+	handle := func(c net.Conn, r *http.Request) {
+		if n.Add(1) == 1 {
+			c.Close()
+			return
+		}
+		respond(c, r, "200 OK", "", "fine")
+	}
+	s := newGateway(t, true, newTarget(t, handle), newTarget(t, handle))
+	resp, body := call(t, s, http.MethodGet, "/read/a", "")
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Equal(t, "fine", body)
+}
+
+// A target that did not run a write leaves it to another one; if none runs it,
+// the refusal is true and says when to come back.
+func TestWriteThatNobodyRanIsRefused(t *testing.T) {
+	full := func(c net.Conn, r *http.Request) { respond(c, r, "503 Service Unavailable", "Not-Run: 1\r\n", "") }
+	a, b := newTarget(t, full), newTarget(t, full)
+	s := newGateway(t, true, a, b)
+	resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+	assert.Contains(t, body, `"not-run"`)
+	assert.GreaterOrEqual(t, a.requests.Load()+b.requests.Load(), int32(2))
+}
+
+// A target that does not answer holds a request only until its route's time.
+func TestSilentTargetEndsAtRouteTimeout(t *testing.T) {
+	s := newGateway(t, true, newTarget(t, func(net.Conn, *http.Request) {}))
+	began := time.Now()
+	resp, _ := call(t, s, http.MethodPost, "/write/a", "x")
+	assert.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	assert.Less(t, time.Since(began), 1500*time.Millisecond)
+}
+
+// Without a configuration nothing is known to be missing: not 404.
+func TestUnknownConfigurationIsNotNotFound(t *testing.T) {
+	resp, _ := call(t, newGateway(t, false), http.MethodGet, "/read/a", "")
+	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+func TestRequestsThatNoTargetMayGet(t *testing.T) {
+	tg := newTarget(t, func(c net.Conn, r *http.Request) { respond(c, r, "200 OK", "", "") })
+	s := newGateway(t, true, tg)
+	resp, _ := call(t, s, http.MethodGet, "/nowhere/a", "")
+	assert.Equal(t, http.StatusNotFound, resp.StatusCode)
+	resp, _ = call(t, s, http.MethodPost, "/write/a", strings.Repeat("x", 1001))
+	assert.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+	assert.Zero(t, tg.requests.Load())
+}
--- /dev/null
+++ b/node/upstream/upstream_test.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// serve runs a target that handles each connection by a function.
+func serve(t *testing.T, handle func(net.Conn, *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c, bufio.NewReader(c))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func answer(c net.Conn, id, body string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+id+"\r\nContent-Length: 2\r\n\r\n"+body)
+}
+
+func request(address, id string, once bool) Request {
+	return Request{
+		Target: "t", Address: address, Method: http.MethodGet, URI: "/a/%2Fb?c=d", Host: "h", Once: once,
+		Header:  http.Header{"Attempt-Id": {id}},
+		Belongs: func(h http.Header) bool { return h.Get("Attempt-Id") == id },
+	}
+}
+
+// A target sends a second answer late, at the place of the next one. The next
+// request must get its own answer, and the foreign one must reach nobody.
+func TestLateSecondAnswerIsSkipped(t *testing.T) {
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n == 1 {
+				answer(c, "first", "xx")
+			}
+			answer(c, req.Header.Get("Attempt-Id"), "ok")
+		}
+	})
+	c := New(net.Dialer{}, metrics.NewRegistry())
+	for _, id := range []string{"first", "second", "third"} {
+		a, err := c.Do(context.Background(), request(address, id, true))
+		require.NoError(t, err)
+		assert.Equal(t, "ok", string(a.Body))
+		assert.Equal(t, id, a.Header.Get("Attempt-Id"))
+	}
+}
+
+// Bytes that came while a connection was idle belong to no request.
+func TestConnectionWithBytesIsNotUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(c, req.Header.Get("Attempt-Id"), "ok")
+		time.Sleep(20 * time.Millisecond)
+		answer(c, req.Header.Get("Attempt-Id"), "no")
+	})
+	c := New(net.Dialer{}, metrics.NewRegistry())
+	for range 2 {
+		a, err := c.Do(context.Background(), request(address, "same", false))
+		require.NoError(t, err)
+		assert.Equal(t, "ok", string(a.Body))
+		time.Sleep(60 * time.Millisecond)
+	}
+	assert.Equal(t, int32(2), conns.Load())
+}
+
+// An answer that ends early must not look complete.
+func TestTruncatedAnswerIsAnError(t *testing.T) {
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: "+req.Header.Get("Attempt-Id")+"\r\nContent-Length: 9\r\n\r\nhalf")
+		c.Close()
+	})
+	_, err := New(net.Dialer{}, metrics.NewRegistry()).Do(context.Background(), request(address, "a", false))
+	var failed *Error
+	require.ErrorAs(t, err, &failed)
+	assert.True(t, failed.Sent)
+	assert.Equal(t, "t", failed.Target)
+}
+
+// A request that is given up must not go on at the target.
+func TestGivenUpRequestResetsConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := New(net.Dialer{}, metrics.NewRegistry()).Do(ctx, request(address, "a", false))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	select {
+	case err := <-ended:
+		assert.Error(t, err)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the target still works")
+	}
+}
+
+// A write is not sent on a connection that was idle for long: the target may
+// have forgotten it, and the write could not be sent again.
+func TestWriteAvoidsConnectionThatWasIdleForLong(t *testing.T) {
+	var conns atomic.Int32
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			answer(c, req.Header.Get("Attempt-Id"), "ok")
+		}
+	})
+	c := New(net.Dialer{}, metrics.NewRegistry())
+	do := func(once bool) {
+		_, err := c.Do(context.Background(), request(address, "a", once))
+		require.NoError(t, err)
+	}
+	do(true)
+	c.idle[address][0].lastUsed = time.Now().Add(-writeIdleKeep)
+	do(false)
+	assert.Equal(t, int32(1), conns.Load(), "a read uses it")
+	c.idle[address][0].lastUsed = time.Now().Add(-writeIdleKeep)
+	do(true)
+	assert.Equal(t, int32(2), conns.Load())
+}
+
+// The path and query reach the target unchanged.
+func TestURIIsUnchanged(t *testing.T) {
+	got := make(chan string, 1)
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		got <- req.RequestURI
+		answer(c, "a", "ok")
+	})
+	_, err := New(net.Dialer{}, metrics.NewRegistry()).Do(context.Background(), request(address, "a", false))
+	require.NoError(t, err)
+	assert.Equal(t, "/a/%2Fb?c=d", <-got)
+}
