--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -273,7 +273,7 @@
 		m.state = "draining"
 		f.announce(m)
 		f.book.leaves(m.ID)
-		time.Sleep(drainBound + time.Second)
+		time.Sleep(drainBound + 2*time.Second)
 	}
 	f.mu.Lock()
 	delete(f.targets, m.ID)
