Close old idle connections, forget targets that are gone; translate owner states by name

Cause: reading the change as a newcomer: connections to targets that never come again and their addresses were kept for the life of the process, and two packages shared a numbering by chance. Change: a tender closes old connections, the view prunes after 10 min. Tests: TestOldIdleConnectionsAreClosed, TestGoneTargetsAreForgotten (new behaviour).

--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -167,9 +167,6 @@
 	}
 }
 
-// Rejected drops the open proposal.
-func (m *Manager) Rejected() { m.pending = nil }
-
 func (p *part) copy() *part {
 	c := *p
 	c.prior = slices.Clone(p.prior)
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -45,11 +45,16 @@
 	return d
 }
 
+// ownerStates translates what is known of a key into what its requests can expect.
+var ownerStates = map[keyspace.OwnerState]lending.OwnerState{
+	keyspace.Held: lending.Held, keyspace.Moving: lending.Moving, keyspace.Lost: lending.Lost,
+}
+
 // ownerOf is called with mu held.
 func (d *desk) ownerOf(now time.Duration, key int) lending.Ownership {
 	if d.keys != nil {
 		h, state, wait := d.keys.Owner(now, key)
-		return lending.Ownership{Target: h.Target, State: lending.OwnerState(state), Wait: wait}
+		return lending.Ownership{Target: h.Target, State: ownerStates[state], Wait: wait}
 	}
 	// A desk that does not lead goes by the last record of the cell; a target
 	// that no longer holds the key says so and does not run the request.
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -53,6 +53,8 @@
 	logger   hclog.Logger
 	registry metrics.Registry
 	drain    atomic.Pointer[gateway.Drain]
+	clients  []*upstream.Client
+	tending  context.CancelFunc
 }
 
 // New assembles a router.
@@ -99,7 +101,9 @@
 func (r *Router) targets(local *net.TCPAddr) *upstream.Client {
 	d := net.Dialer{KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	peer.Bind(&d, local)
-	return upstream.New(d, r.registry)
+	c := upstream.New(d, r.registry)
+	r.clients = append(r.clients, c)
+	return c
 }
 
 // Apply takes the settings that may change while the process runs: the times of
@@ -107,7 +111,17 @@
 func (r *Router) Apply(s Settings) { r.drain.Store(&s.Drain) }
 
 // Start starts all modules.
-func (r *Router) Start(ctx context.Context) error { return r.kernel.Start(ctx) }
+func (r *Router) Start(ctx context.Context) error {
+	tend, stop := context.WithCancel(context.Background())
+	r.tending = stop
+	for _, c := range r.clients {
+		go c.Tend(tend)
+	}
+	return r.kernel.Start(ctx)
+}
 
 // Stop finishes the requests of callers and stops all modules.
-func (r *Router) Stop(ctx context.Context) error { return r.kernel.Stop(ctx) }
+func (r *Router) Stop(ctx context.Context) error {
+	defer r.tending()
+	return r.kernel.Stop(ctx)
+}
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -14,7 +14,7 @@
 type conn struct {
 	net.Conn
 	address  string
-	epoch    int
+	openedAt time.Time
 	reader   *bufio.Reader
 	lastUsed time.Time
 	keepFor  time.Duration // longest idle time
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -34,6 +34,10 @@
 	// that may run only once: a target may have forgotten it.
 	writeIdleKeep = 2 * time.Second
 	maxIdle       = 3 // connections kept a target: the slots of the targets
+	// silentMemory is longer than any request is under way.
+	silentMemory = 5 * time.Minute
+	// tendPause bounds how much longer an unused connection stays open.
+	tendPause = 3 * time.Second
 	// MaxAnswerBytes is the largest answer body that is passed on.
 	MaxAnswerBytes = 16 << 20
 	// maxForeignAnswers is how many answers to other requests are skipped.
@@ -91,16 +95,18 @@
 	opened  metrics.Counter
 	foreign metrics.Counter
 
-	mu    sync.Mutex
-	idle  map[string][]*conn // by address, last used last
-	epoch map[string]int     // rises when the idle connections of an address are dropped
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, last used last
+	// silentAt is when a connection to an address went silent. Those opened
+	// before are not kept.
+	silentAt map[string]time.Time
 }
 
 // New returns a client that dials with a dialer.
 func New(d net.Dialer, registry metrics.Registry) *Client {
 	d.Timeout = dialTimeout
 	return &Client{
-		dialer: d, idle: map[string][]*conn{}, epoch: map[string]int{},
+		dialer: d, idle: map[string][]*conn{}, silentAt: map[string]time.Time{},
 		opened:  metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
 		foreign: metrics.GetOrRegisterCounter("upstream.answers_skipped", registry),
 	}
@@ -145,7 +151,7 @@
 	c.mu.Lock()
 	idle := c.idle[address]
 	delete(c.idle, address)
-	c.epoch[address]++
+	c.silentAt[address] = time.Now()
 	c.mu.Unlock()
 	for _, cn := range idle {
 		cn.Close()
@@ -165,15 +171,13 @@
 		}
 		cn.Close()
 	}
-	c.mu.Lock()
-	epoch := c.epoch[r.Address]
-	c.mu.Unlock()
+	opened := time.Now()
 	raw, err := c.dialer.DialContext(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
 	c.opened.Inc(1)
-	return &conn{Conn: raw, address: r.Address, epoch: epoch, keepFor: idleKeep, reader: bufio.NewReader(raw)}, nil
+	return &conn{Conn: raw, address: r.Address, openedAt: opened, keepFor: idleKeep, reader: bufio.NewReader(raw)}, nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
@@ -192,7 +196,7 @@
 	cn.lastUsed = time.Now()
 	c.mu.Lock()
 	list := c.idle[cn.address]
-	if cn.reader.Buffered() == 0 && len(list) < maxIdle && c.epoch[cn.address] == cn.epoch {
+	if cn.reader.Buffered() == 0 && len(list) < maxIdle && !cn.openedAt.Before(c.silentAt[cn.address]) {
 		c.idle[cn.address] = append(list, cn)
 		cn = nil
 	}
@@ -202,8 +206,21 @@
 	}
 }
 
-// CloseIdle closes the idle connections that were not used for a while.
-func (c *Client) CloseIdle() {
+// Tend closes idle connections that are too old to be used again, until ctx ends.
+func (c *Client) Tend(ctx context.Context) {
+	ticker := time.NewTicker(tendPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.closeIdle()
+		}
+	}
+}
+
+func (c *Client) closeIdle() {
 	c.mu.Lock()
 	var old []*conn
 	for address, list := range c.idle {
@@ -218,6 +235,11 @@
 			c.idle[address] = list[n:]
 		}
 	}
+	for address, at := range c.silentAt {
+		if time.Since(at) > silentMemory {
+			delete(c.silentAt, address)
+		}
+	}
 	c.mu.Unlock()
 	for _, cn := range old {
 		cn.Close()
--- a/node/upstream/upstream_test.go
+++ b/node/upstream/upstream_test.go
@@ -173,3 +173,20 @@
 	require.NoError(t, err)
 	assert.Equal(t, "/a/%2Fb?c=d", <-got)
 }
+
+// Targets come and go; a VM must not keep a closed connection to each.
+func TestOldIdleConnectionsAreClosed(t *testing.T) {
+	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			answer(c, "a", "ok")
+		}
+	})
+	c := New(net.Dialer{}, metrics.NewRegistry())
+	_, err := c.Do(context.Background(), request(address, "a", false))
+	require.NoError(t, err)
+	c.closeIdle()
+	require.Len(t, c.idle[address], 1)
+	c.idle[address][0].lastUsed = time.Now().Add(-idleKeep)
+	c.closeIdle()
+	assert.Empty(t, c.idle)
+}
--- a/node/view/read.go
+++ b/node/view/read.go
@@ -129,6 +129,8 @@
 	if e := v.entries[Targets][target]; e != nil && e.Target != nil {
 		return e.Target.Address, true
 	}
-	address, ok := v.lastAddress[target]
-	return address, ok
+	if e := v.last[target]; e != nil {
+		return e.Target.Address, true
+	}
+	return "", false
 }
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -86,15 +86,23 @@
 	graceUntil time.Duration
 	missing    map[string]*entry // targets without an entry, in grace
 	coldDC     map[string]time.Duration
-	// lastAddress keeps the addresses of targets without an entry, which may
-	// still hold keys.
-	lastAddress map[string]string
+	// last keeps the entries of targets that are gone, which may still hold keys.
+	last     map[string]*entry
+	prunedAt time.Duration
 }
 
+const (
+	// goneFor is how long a key that is gone is remembered: far beyond the time
+	// for which a target holds keys, and twice the store's usual history.
+	goneFor = 10 * time.Minute
+	// prunePause is the pause between two looks for what may be forgotten.
+	prunePause = time.Minute
+)
+
 // New returns an empty view. Now reads a clock that counts suspended time.
 func New(now func() time.Duration, logger hclog.Logger) *View {
 	v := &View{now: now, logger: logger, changed: make(chan struct{}), missing: map[string]*entry{},
-		coldDC: map[string]time.Duration{}, lastAddress: map[string]string{}}
+		coldDC: map[string]time.Duration{}, last: map[string]*entry{}}
 	for i := range v.entries {
 		v.entries[i] = map[string]*entry{}
 	}
@@ -175,7 +183,26 @@
 	v.advance(l, end, began)
 }
 
+// prune forgets keys that have been gone for long.
+func (v *View) prune() {
+	now := v.now()
+	if now < v.prunedAt+prunePause {
+		return
+	}
+	v.prunedAt = now
+	for l := range v.entries {
+		for key, e := range v.entries[l] {
+			if e.gone() && now > e.seenAt+goneFor {
+				delete(v.entries[l], key)
+				delete(v.last, key)
+				delete(v.missing, key)
+			}
+		}
+	}
+}
+
 func (v *View) advance(l Log, end int64, began time.Duration) {
+	v.prune()
 	if end >= v.ends[l] {
 		v.ends[l] = end
 		v.freshAt[l] = max(v.freshAt[l], began)
@@ -249,7 +276,7 @@
 		}
 	case old != nil && old.Target != nil:
 		v.logger.Info("target is gone", "target", old.Target.ID, "service", old.Target.Service, "offset", e.Offset, "grace", now < v.graceUntil)
-		v.lastAddress[old.Target.ID] = old.Target.Address
+		v.last[e.Key] = old
 		if now < v.graceUntil {
 			v.missing[e.Key] = old
 		}
--- a/node/view/view_test.go
+++ b/node/view/view_test.go
@@ -103,3 +103,18 @@
 	reader.Apply(Targets, []Change{target(2, "b", true)}, 3, now)
 	assert.Empty(t, reader.Since(other.Ends()).Changes, "a repeated entry does not travel")
 }
+
+// A router that runs for months must not remember each target that ever was.
+func TestGoneTargetsAreForgotten(t *testing.T) {
+	now := time.Second
+	v := newTestView(&now)
+	v.Apply(Targets, []Change{target(0, "a", false), {Log: Targets, Key: "a", Offset: 1}}, 2, 0)
+	address, known := v.Address("a")
+	assert.True(t, known, "it may still hold keys")
+	assert.Equal(t, "a:1", address)
+	now += goneFor + prunePause
+	v.Apply(Targets, nil, 3, 0)
+	_, known = v.Address("a")
+	assert.False(t, known)
+	assert.Empty(t, v.entries[Targets])
+}
