--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -66,7 +66,6 @@
 	heard    map[string]time.Duration // leader's process to the time of its last answer
 	quietAt  map[string]time.Duration // service to the time since when its leader is silent
 	cellSeen map[string]*fleet.Cell
-	leaving  bool
 }
 
 // Config assembles a Service.
@@ -142,7 +141,7 @@
 	mine := c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot
 	s.mu.Lock()
 	l, leads := s.leads[svc.Name]
-	busy := s.claiming[svc.Name] || s.leaving
+	busy := s.claiming[svc.Name]
 	s.mu.Unlock()
 	switch {
 	case leads && !mine:
@@ -180,7 +179,7 @@
 func (s *Service) begin(service string, m *keyspace.Manager, number int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving || s.ctx.Err() != nil {
+	if s.ctx.Err() != nil {
 		return
 	}
 	l := s.newLead(service, m)
