--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -88,7 +88,9 @@
 		}
 	})
 	c.run(faultTime)
-	time.Sleep(recoverTime)
+	time.Sleep(settle)
+	f.drainOneOfEach()
+	time.Sleep(recoverTime - settle)
 	load.begin()
 	time.Sleep(2 * time.Second)
 	good, all := load.end()
@@ -106,6 +108,18 @@
 	}
 }
 
+// drainOneOfEach lets a target of each service leave while nothing excuses a
+// late request.
+func (f *fleet) drainOneOfEach() {
+	var wg sync.WaitGroup
+	for _, service := range []string{keyedService, poolService} {
+		m := f.list(service)[0]
+		f.addTarget(service)
+		wg.Go(func() { f.remove(m, true) })
+	}
+	wg.Wait()
+}
+
 // keepLogs copies the logs of the VMs of a failed run.
 func keepLogs(t *testing.T, f *fleet, seed int64) {
 	dir := filepath.Join(os.TempDir(), fmt.Sprintf("mangogate-soak-%d", seed))
--- /dev/null
+++ b/node/cell/cell_test.go
@@ -0,0 +1,224 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// memoryStore holds the system's log.
+type memoryStore struct {
+	mu   sync.Mutex
+	log  []view.Change
+	lose int // appends that are done and not answered
+	down bool
+}
+
+func (s *memoryStore) Newest(ctx context.Context, l view.Log) ([]view.Change, int64, error) {
+	return s.Read(ctx, l, 0, 0)
+}
+
+func (s *memoryStore) Read(_ context.Context, l view.Log, from int64, _ time.Duration) ([]view.Change, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down || l != view.System {
+		return nil, 0, view.ErrRefused
+	}
+	return append([]view.Change(nil), s.log[from:]...), int64(len(s.log)), nil
+}
+
+func (s *memoryStore) Append(_ context.Context, c view.Change, end int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return 0, view.ErrRefused
+	case end != view.Anywhere && end != int64(len(s.log)):
+		return 0, view.ErrConflict
+	}
+	c.Log, c.Offset = view.System, int64(len(s.log))
+	s.log = append(s.log, c)
+	if s.lose > 0 {
+		s.lose--
+		return 0, view.ErrUnknown
+	}
+	return c.Offset, nil
+}
+
+func (s *memoryStore) cells() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, c := range s.log {
+		if c.Cell != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// acceptAll is a target that takes all orders.
+type acceptAll struct{}
+
+func (acceptAll) Grant(_ context.Context, _ Order, gate func() error) (keyspace.CallResult, error) {
+	if err := gate(); err != nil {
+		return keyspace.NotSent, err
+	}
+	return keyspace.Accepted, nil
+}
+
+func (acceptAll) Release(context.Context, Order) (string, keyspace.CallResult, error) {
+	return "h", keyspace.Accepted, nil
+}
+
+type testVM struct {
+	*Service
+	server *peer.Server
+	stop   context.CancelFunc
+}
+
+func startVM(t *testing.T, id string, store view.Store) *testVM {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := free.Addr().String()
+	free.Close()
+	c, registry, logger := clock.New(), metrics.NewRegistry(), hclog.NewNullLogger()
+	v := view.New(c.Now, logger)
+	v.Apply(view.Operators, []view.Change{{Log: view.Operators, Key: "config", Config: &fleet.Config{
+		Version: 1, Services: []fleet.Service{{Name: "s", Keyed: true}},
+	}}}, 1, c.Now())
+	v.Apply(view.Targets, []view.Change{{Log: view.Targets, Key: "t", Target: &fleet.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "z", Slots: 3}}}, 1, c.Now())
+	self := fleet.VM{ID: id, PeerAddress: address, Boot: "boot-" + id, Cores: 1}
+	_, err = store.Append(context.Background(), view.Change{Key: view.VMKey(id), VM: &self}, view.Anywhere)
+	require.NoError(t, err)
+	server := peer.NewServer(address, nil, nil, logger, registry)
+	client := peer.NewClient(nil, nil, registry)
+	client.Options = peer.Options{Connections: 1, NoPings: true}
+	s, err := New(Config{Self: self, View: v, Store: store, Orders: acceptAll{}, Clock: c, Peers: client, Server: server, Logger: logger, Registry: registry})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	vm := &testVM{Service: s, server: server}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			_ = s.readSystem(ctx) // the store may be down on purpose
+			time.Sleep(30 * time.Millisecond)
+		}
+	})
+	require.NoError(t, server.Start(ctx))
+	require.NoError(t, s.Start(ctx))
+	var once sync.Once
+	vm.stop = func() {
+		once.Do(func() {
+			cancel()
+			wg.Wait()
+			assert.NoError(t, s.Stop(context.Background()))
+			assert.NoError(t, server.Stop(context.Background()))
+			assert.NoError(t, client.Stop(context.Background()))
+		})
+	}
+	t.Cleanup(vm.stop)
+	return vm
+}
+
+func leaders(vms []*testVM) []*testVM {
+	var out []*testVM
+	for _, vm := range vms {
+		if vm.leadOf("s") != nil {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// All VMs start at once: one of them leads. When it is lost another one does,
+// and of all VMs the last one still leads.
+func TestLastVMLeads(t *testing.T) {
+	store := &memoryStore{}
+	var vms []*testVM
+	for i := range 3 {
+		vms = append(vms, startVM(t, fmt.Sprintf("vm-%d", i), store))
+	}
+	for left := 3; left > 0; left-- {
+		require.Eventually(t, func() bool { return len(leaders(vms)) == 1 }, 8*time.Second, 20*time.Millisecond, "%d VMs are left", left)
+		lost := leaders(vms)[0]
+		lost.stop()
+		for i, vm := range vms {
+			if vm == lost {
+				vms = append(vms[:i:i], vms[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// An append whose answer is lost took effect: the VM finds its record in the
+// log, leads, and does not write it again.
+func TestLostAnswerOfClaimIsFollowedUp(t *testing.T) {
+	store := &memoryStore{}
+	vm := startVM(t, "vm-0", store)
+	store.mu.Lock()
+	store.lose = 1
+	store.mu.Unlock()
+	require.Eventually(t, func() bool { return vm.leadOf("s") != nil }, 5*time.Second, 20*time.Millisecond)
+	c, _ := vm.view.Cell("s")
+	assert.Equal(t, "vm-0", c.Leader)
+	assert.LessOrEqual(t, store.cells(), 3, "the claim and the first assignments")
+}
+
+// A leader that the store does not confirm must stop granting: another VM may
+// lead by now.
+func TestLeaderWithoutConfirmationGrantsNothing(t *testing.T) {
+	store := &memoryStore{}
+	vm := startVM(t, "vm-0", store)
+	require.Eventually(t, func() bool { return vm.leadOf("s") != nil }, 5*time.Second, 20*time.Millisecond)
+	l := vm.leadOf("s")
+	require.NoError(t, l.mayGrant())
+	store.mu.Lock()
+	store.down = true
+	store.mu.Unlock()
+	require.Eventually(t, func() bool { return l.mayGrant() != nil }, authority+time.Second, 20*time.Millisecond)
+}
+
+// Another VM lends the slots of the leader's targets, and its own small share
+// when the leader is lost.
+func TestLendingGoesOnWithoutLeader(t *testing.T) {
+	store := &memoryStore{}
+	vms := []*testVM{startVM(t, "vm-0", store), startVM(t, "vm-1", store)}
+	require.Eventually(t, func() bool { return len(leaders(vms)) == 1 }, 8*time.Second, 20*time.Millisecond)
+	leader, other := leaders(vms)[0], vms[0]
+	if leader == other {
+		other = vms[1]
+	}
+	lend := func() Slot {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		slot, err := other.Lend(ctx, LendArgs{Service: "s", VM: other.self.ID, Route: "r", Idempotent: true,
+			Objective: 300 * time.Millisecond, Deadline: time.Second, Key: 5})
+		require.NoError(t, err)
+		return slot
+	}
+	require.Eventually(t, func() bool {
+		slot := lend()
+		other.Return(slot, lending.Usage{Result: lending.Answered, Took: time.Millisecond})
+		return slot.Lent && slot.By == leader.self.ID
+	}, 5*time.Second, 50*time.Millisecond)
+	leader.stop()
+	slot := lend()
+	assert.True(t, slot.Lent, "%s", slot.Reason)
+	assert.Equal(t, other.self.ID, slot.By)
+}
