Keep the ranges of keys few: allow for chance before a move, join what was cut

A target's load is a sum of about 16 requests, so a fifth more than the mean is mostly chance, and each move cut a range. Ruled out: the store (its answers took 32 to 90 ms then), processor time of the entries (0.02 cores). Change: a target is relieved when it is busier than the mean beyond 2.5 standard deviations, or beyond one when it is overloaded; small ranges go to the owners of their neighbours once there are 1.75 ranges a target. Loads of ranges come from prefix sums.

--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,8 +11,15 @@
 	// busyEnough is the share of a target's slots from which on its load is
 	// worth a move; below, requests seldom wait.
 	busyEnough = 0.3
-	// uneven is how much busier than the mean a target has to be.
+	// uneven is how much busier than the mean a target has to be, beyond what
+	// chance explains.
 	uneven = 1.2
+	// certainty is the number of standard deviations by which chance is allowed
+	// for, and overloadCertainty that at targets that are used beyond overloaded,
+	// where requests wait.
+	certainty         = 2.5
+	overloadCertainty = 1.0
+	overloaded        = 0.85
 	// movesPerPlan and moveShare bound the ranges that change hands at once, the
 	// second as a share of the targets: a hot spot may need many of them.
 	movesPerPlan = 6
@@ -23,8 +31,16 @@
 	// worthMoving is the least load, in slots, for which a range is cut.
 	worthMoving = 0.1
 	// manyParts is the mean number of ranges a target from which on neighbours
-	// are joined: each range is a call in each renewal.
-	manyParts = 2
+	// are joined: each range is a call in each renewal and a line of each record.
+	manyParts = 1.25
+	// spareParts keeps a service with few targets from joining each pair.
+	spareParts = 4
+	// tooManyParts is the mean number of ranges a target from which on small
+	// ones are moved to the owners of their neighbours.
+	tooManyParts = 1.75
+	// joinedUse is the use up to which a target takes its neighbours' ranges,
+	// relative to the mean.
+	joinedUse = 1.1
 	// startShare is the share of a fair part that a target without keys gets.
 	startShare = 0.5
 )
@@ -34,6 +50,7 @@
 	m      *Manager
 	now    time.Duration
 	load   *Load
+	sums   []float64 // sums[k] is the load of the keys below k
 	parts  []*part
 	state  map[Holder]*candidateState
 	all    []*candidateState
@@ -49,7 +66,7 @@
 func (c *candidateState) use() float64 { return c.load / max(c.Capacity, 0.01) }
 
 func newPlanner(m *Manager, now time.Duration, candidates []Candidate, load *Load) *planner {
-	pl := &planner{m: m, now: now, load: load, state: map[Holder]*candidateState{}}
+	pl := &planner{m: m, now: now, load: load, sums: load.sums(), state: map[Holder]*candidateState{}}
 	for _, c := range candidates {
 		if m.ended[c.Holder] {
 			continue
@@ -73,8 +90,10 @@
 // spread too: all keys together count as this many slots.
 const baseLoad = 0.5
 
-func (pl *planner) loadOf(p *part) float64 {
-	return pl.load.Of(p.From, p.To) + baseLoad*float64(p.To-p.From+1)/Keys
+func (pl *planner) loadOf(p *part) float64 { return pl.loadBetween(p.From, p.To) }
+
+func (pl *planner) loadBetween(from, to int) float64 {
+	return pl.sums[to+1] - pl.sums[from] + baseLoad*float64(to-from+1)/Keys
 }
 
 // refence gives a new number to the parts whose owner has seen a higher one.
@@ -187,7 +206,7 @@
 
 // merge joins neighbouring ranges of one owner once there are many ranges.
 func (pl *planner) merge() {
-	if len(pl.parts) <= manyParts*len(pl.all) {
+	if len(pl.parts) <= pl.partsFor(manyParts) {
 		return
 	}
 	out := pl.parts[:1]
@@ -230,6 +249,7 @@
 		capacity += s.Capacity
 	}
 	mean := load / max(capacity, 0.01)
+	pl.gather(mean)
 	for range max(movesPerPlan, int(moveShare*float64(len(pl.all)))) {
 		if !pl.fillEmpty(mean) && !pl.promote() && !pl.relieve(mean) {
 			return
@@ -247,6 +267,64 @@
 	return pl.move(pl.mostUsed(), to, startShare*mean*to.Capacity)
 }
 
+// partsFor returns a number of ranges from their mean number a target.
+func (pl *planner) partsFor(mean float64) int { return int(mean*float64(len(pl.all))) + spareParts }
+
+// gather moves small ranges to the owners of their neighbours once there are
+// too many ranges. They are joined when they have been granted.
+func (pl *planner) gather(mean float64) {
+	excess := len(pl.parts) - pl.partsFor(manyParts)
+	if len(pl.parts) <= pl.partsFor(tooManyParts) {
+		return
+	}
+	var small []*part
+	for _, p := range pl.parts {
+		if s := pl.state[p.Owner]; s != nil && s.parts > 1 && pl.movable(p, s) {
+			small = append(small, p)
+		}
+	}
+	slices.SortStableFunc(small, func(a, b *part) int { return cmp.Compare(pl.loadOf(a), pl.loadOf(b)) })
+	for _, p := range small {
+		if excess <= 0 {
+			return
+		}
+		if from := pl.state[p.Owner]; from.parts > 1 {
+			if to := pl.roomBeside(p, max(joinedUse*mean, busyEnough)); to != nil {
+				pl.give(p, to)
+				excess--
+			}
+		}
+	}
+}
+
+// roomBeside returns the less used owner of a part's neighbours if the part
+// fits there up to a use, or nil.
+func (pl *planner) roomBeside(p *part, use float64) *candidateState {
+	var best *candidateState
+	for _, n := range pl.neighbours(p) {
+		s := pl.state[n.Owner]
+		if s == nil || n.Owner == p.Owner || s.load+pl.loadOf(p) > use*s.Capacity || pl.hotAlone(n) {
+			continue
+		}
+		if best == nil || s.use() < best.use() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (pl *planner) neighbours(p *part) []*part {
+	i, _ := slices.BinarySearchFunc(pl.parts, p.From, func(q *part, from int) int { return cmp.Compare(q.From, from) })
+	var out []*part
+	if i > 0 {
+		out = append(out, pl.parts[i-1])
+	}
+	if i+1 < len(pl.parts) {
+		out = append(out, pl.parts[i+1])
+	}
+	return out
+}
+
 // relieve moves load off the busiest target from which some can be moved: one
 // key may keep a target busy and cannot be cut.
 func (pl *planner) relieve(mean float64) bool {
@@ -254,9 +332,12 @@
 	slices.SortStableFunc(byUse, func(a, b *candidateState) int { return cmp.Compare(b.use(), a.use()) })
 	to := pl.leastUsed()
 	for _, from := range byUse {
-		if from == to || from.use() < busyEnough || from.use() < uneven*mean {
+		if from == to || from.use() < busyEnough {
 			return false
 		}
+		if !pl.surelyBusier(from, uneven*mean) {
+			continue
+		}
 		amount := min((from.use()-mean)*from.Capacity, (mean-to.use())*to.Capacity)
 		if amount >= worthMoving && pl.move(from, to, amount) {
 			return true
@@ -265,6 +346,17 @@
 	return false
 }
 
+// surelyBusier tells whether a target is used beyond a bound also without what
+// chance may have added: a load is a sum of few requests.
+func (pl *planner) surelyBusier(s *candidateState, bound float64) bool {
+	deviation := math.Sqrt(s.load * pl.load.perRequest() / 2)
+	allowed := certainty * deviation
+	if s.use() > overloaded {
+		allowed = overloadCertainty * deviation
+	}
+	return s.load-allowed >= bound*s.Capacity
+}
+
 // move gives another target about the given load, from the busiest range of a
 // target that can be given or cut.
 func (pl *planner) move(from, to *candidateState, amount float64) bool {
@@ -273,8 +365,7 @@
 	}
 	var movable []*part
 	for _, p := range pl.parts {
-		// A range that is still on its way is left alone.
-		if p.Owner == from.Holder && len(p.prior) == 0 && p.Fence != 0 {
+		if pl.movable(p, from) {
 			movable = append(movable, p)
 		}
 	}
@@ -287,6 +378,12 @@
 	return false
 }
 
+// movable tells whether a part can be taken from an owner. One that is still on
+// its way is left alone.
+func (pl *planner) movable(p *part, from *candidateState) bool {
+	return p.Owner == from.Holder && len(p.prior) == 0 && p.Fence != 0
+}
+
 func (pl *planner) movePart(p *part, from, to *candidateState, amount float64) bool {
 	load := pl.loadOf(p)
 	if load < worthMoving/2 && to.parts > 0 {
@@ -316,7 +413,7 @@
 				hot = k
 			}
 		}
-		if pl.load.Of(hot, hot) < busyAlone*s.Capacity {
+		if pl.loadBetween(hot, hot) < busyAlone*s.Capacity {
 			continue
 		}
 		if hot > p.From {
