Pass large changes on compressed, from one VM only

Cause: each VM asked each of up to three leaders for all that it did not know, so a configuration of 1,802 routes or a record of 1,400 ranges crossed the links of the leaders up to three times for each of 75 VMs, encoded anew each time. 133 KB for 1,800 routes and 400 ranges do not fit into an exchange of 400 ms over 200 Mbit/s; it was cut off and began again. Change: a change is compressed once and kept in that form; only the VM that reads the store passes changes on, the other leaders are asked only whether they work, and not even that if they have just answered a request for a slot.

--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -68,6 +68,7 @@
 			s.forget(c.Leader, c.Boot)
 			return Slot{}, false
 		}
+		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
 		return slot(r), r.reply.Leads
 	case <-ctx.Done():
 		go func() {
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -44,15 +44,15 @@
 
 // SyncArgs tells a VM what the caller knows.
 type SyncArgs struct {
-	VM   string
-	Ends [3]int64
+	VM     string
+	Ends   [3]int64
+	Passes bool // asks for what the VM knows beyond that
 }
 
-// SyncReply is what the VM knows beyond that.
+// SyncReply is what the VM knows beyond that, if it was asked for.
 type SyncReply struct {
 	Boot  string
 	Batch view.Batch
-	Leads []string // services whose cells the VM leads
 }
 
 // HeardArgs asks whether a VM heard a leader lately.
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -36,11 +36,8 @@
 // Sync implements the call of the same name.
 func (h *handler) Sync(a SyncArgs, reply *SyncReply) error {
 	reply.Boot = h.s.self.Boot
-	reply.Batch = h.s.view.Since(a.Ends)
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	for service := range h.s.leads {
-		reply.Leads = append(reply.Leads, service)
+	if a.Passes {
+		reply.Batch = h.s.view.Since(a.Ends)
 	}
 	return nil
 }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -320,10 +320,14 @@
 	if id == s.self.ID {
 		return boot == s.self.Boot
 	}
+	return s.heardWithin(id, boot, silence)
+}
+
+func (s *Service) heardWithin(id, boot string, span time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.heard[id+boot]
-	return ok && s.clock.Now()-at < silence
+	return ok && s.clock.Now()-at < span
 }
 
 func (s *Service) tickSolos() {
@@ -345,12 +349,28 @@
 	return len(s.leads) > 0
 }
 
-// Reads tells whether this VM leads the first cell, by name, that has a
-// leader: it reads the store for the others.
+// Reads tells whether this VM reads the store for the others.
 func (s *Service) Reads() bool {
+	service := s.readerCell()
+	return service != "" && s.leadOf(service) != nil
+}
+
+// reader returns the id of the VM that reads the store for the others, "" if
+// no cell has a leader.
+func (s *Service) reader() string {
+	c, _ := s.view.Cell(s.readerCell())
+	if c == nil {
+		return ""
+	}
+	return c.Leader
+}
+
+// readerCell returns the first service, by name, whose cell has a leader: that
+// VM reads the store.
+func (s *Service) readerCell() string {
 	cfg, _ := s.view.Config()
 	if cfg == nil {
-		return false
+		return ""
 	}
 	first := ""
 	for _, svc := range cfg.Services {
@@ -358,5 +378,5 @@
 			first = svc.Name
 		}
 	}
-	return first != "" && s.leadOf(first) != nil
+	return first
 }
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -16,45 +16,63 @@
 const (
 	staleAfter       = 600 * time.Millisecond
 	systemStaleAfter = 1300 * time.Millisecond
+	// heardPause is how long an answer, also one to a request for a slot, shows
+	// that a leader works. It leaves time for two exchanges before silence.
+	heardPause = 300 * time.Millisecond
 )
 
-// syncLoop exchanges views with the leaders, and with others when that is not
-// enough. An exchange that hangs does not hold up those with other VMs.
+// partner is a VM to exchange with.
+type partner struct {
+	fleet.VM
+	passes bool // the VM is asked for what it knows, not only whether it works
+}
+
+// syncLoop exchanges views with the VM that reads the store, and with others
+// when that is not enough. An exchange that hangs does not hold up those with
+// other VMs.
 func (s *Service) syncLoop() {
 	defer s.wg.Done()
 	var open sync.Map // VM ids
 	for s.ctx.Err() == nil {
-		for _, vm := range s.partners() {
-			if _, busy := open.LoadOrStore(vm.ID, true); busy {
+		for _, p := range s.partners() {
+			if _, busy := open.LoadOrStore(p.ID, true); busy {
 				continue
 			}
 			go func() {
-				defer open.Delete(vm.ID)
-				s.syncWith(vm)
+				defer open.Delete(p.ID)
+				s.syncWith(p)
 			}()
 		}
 		time.Sleep(syncPause)
 	}
 }
 
-// partners returns the leaders, each once, and another VM while a cell has no
-// leader that is heard or while what this VM knows is old.
-func (s *Service) partners() []fleet.VM {
+// partners returns the VM that reads the store for all, the leaders that have
+// not been heard just now, and another VM while a cell has no leader that is
+// heard or while what this VM knows is old. Only one VM passes on what it
+// knows, unless that is old: a large change would come from each leader.
+func (s *Service) partners() []partner {
 	leaders, wanting := s.leaders()
-	wanting = wanting || s.view.Staleness(view.Targets) > staleAfter || s.view.Staleness(view.Operators) > staleAfter ||
+	stale := s.view.Staleness(view.Targets) > staleAfter || s.view.Staleness(view.Operators) > staleAfter ||
 		s.view.Staleness(view.System) > systemStaleAfter
-	var out, others []fleet.VM
+	reader := s.reader()
+	var out []partner
+	var others []fleet.VM
 	for _, vm := range s.view.VMs() {
 		switch {
 		case vm.ID == s.self.ID:
+		case vm.ID == reader:
+			out = append(out, partner{vm, true})
 		case leaders[vm.ID]:
-			out = append(out, vm)
+			if stale || !s.heardWithin(vm.ID, vm.Boot, heardPause) {
+				out = append(out, partner{vm, stale})
+			}
 		default:
 			others = append(others, vm)
 		}
 	}
-	if wanting && len(others) > 0 {
-		out = append(out, others[rand.Intn(len(others))])
+	if (wanting || stale) && len(others) > 0 {
+		out = append(out, partner{others[rand.Intn(len(others))], true})
 	}
 	return out
 }
@@ -78,27 +96,32 @@
 	return leaders, missing
 }
 
-func (s *Service) syncWith(vm fleet.VM) {
+func (s *Service) syncWith(vm partner) {
 	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
 	defer cancel()
 	asked, began, sent := s.view.Ends(), s.clock.Now(), time.Now()
 	var reply SyncReply
-	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", SyncArgs{VM: s.self.ID, Ends: asked}, &reply); err != nil {
+	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", SyncArgs{VM: s.self.ID, Ends: asked, Passes: vm.passes}, &reply); err != nil {
 		if ctx.Err() != nil && s.ctx.Err() == nil {
 			s.peers.Drop(vm.PeerAddress, sent)
 		}
-		s.noteLost(vm, err)
+		s.noteLost(vm.VM, err)
 		return
 	}
-	now := s.clock.Now()
-	s.view.Merge(reply.Batch, asked, now-began)
+	if vm.passes {
+		s.view.Merge(reply.Batch, asked, s.clock.Now()-began)
+	}
+	s.noteHeard(vm.ID, reply.Boot, vm.PeerAddress)
+}
+
+// noteHeard takes an answer of a VM's process as a sign that it works.
+func (s *Service) noteHeard(id, boot, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key := vm.ID + reply.Boot
-	if _, known := s.heard[key]; !known {
-		s.logger.Info("vm is heard", "vm", vm.ID, "boot", reply.Boot, "peer", vm.PeerAddress)
+	if _, known := s.heard[id+boot]; !known {
+		s.logger.Info("vm is heard", "vm", id, "boot", boot, "peer", address)
 	}
-	s.heard[key] = now
+	s.heard[id+boot] = s.clock.Now()
 }
 
 // noteLost logs the first failure after a success.
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/pkg/errors"
 )
 
 // Log is one of the logs that the view is made of.
@@ -43,6 +44,7 @@
 	Target *fleet.Target
 	VM     *fleet.VM
 	Cell   *fleet.Cell
+	Packed []byte // Config or Cell between VMs
 }
 
 func (c *Change) gone() bool {
@@ -65,6 +67,11 @@
 	Change
 	latest int64 // offset of the last record of the key, which may repeat the value
 	seenAt time.Duration
+	packed func() (Change, error) // the change as it is passed on
+}
+
+func newEntry(c Change, seenAt time.Duration) *entry {
+	return &entry{Change: c, latest: c.Offset, seenAt: seenAt, packed: sync.OnceValues(func() (Change, error) { return pack(c) })}
 }
 
 // View is safe for concurrent use.
@@ -217,7 +224,7 @@
 		if old != nil && old.latest >= c.Offset {
 			continue
 		}
-		e := &entry{Change: c, latest: c.Offset, seenAt: now - c.Age}
+		e := newEntry(c, now-c.Age)
 		if v.sameTarget(old, e) {
 			old.latest = c.Offset
 			continue
@@ -305,7 +312,10 @@
 		}
 		for _, e := range v.entries[l] {
 			if e.Offset >= ends[l] {
-				c := e.Change
+				c, err := e.packed()
+				if err != nil {
+					v.logger.Error("a change is passed on as it is", "log", l, "key", e.Key, "offset", e.Offset, "error", err)
+				}
 				c.Age = now - e.seenAt
 				b.Changes = append(b.Changes, c)
 			}
@@ -315,6 +325,16 @@
 	return b
 }
 
+func unpackAll(changes []Change) error {
+	for i, c := range changes {
+		var err error
+		if changes[i], err = unpack(c); err != nil {
+			return errors.Wrapf(err, "key %q at %d", c.Key, c.Offset)
+		}
+	}
+	return nil
+}
+
 // Merge takes what another VM knows. Since was asked for the ends that this VM
 // had then.
 func (v *View) Merge(b Batch, asked [numLogs]int64, elapsed time.Duration) {
@@ -331,6 +351,10 @@
 				mine = append(mine, c)
 			}
 		}
+		if err := unpackAll(mine); err != nil {
+			v.logger.Error("changes from another VM were not taken", "log", l, "end", b.Positions[l].End, "error", err)
+			continue
+		}
 		v.apply(mine)
 		if b.Positions[l].End > 0 {
 			v.advance(l, b.Positions[l].End, now-elapsed-b.Positions[l].Age)
