Use what a target says of its slowdown, and forget it soon; drop the unused connhealth

Cause: the fourth figure of a target's load report was decoded and not used. A target whose neighbours slowed it down for 0.4 s was learned as slow for many requests, and then got no work for as long as others were free. Change: the choice multiplies by the reported slowdown, which halves every 0.3 s; the learned slowness leaves it out. core/connhealth was used by nothing. Before and after: TestTargetThatSaysItIsSlowIsLeftAlone, seen to fail first (0 of 200 requests in the second after).

--- a/core/connhealth/connhealth.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package connhealth decides what a timeout says about a connection and about
-// the peer behind it.
-package connhealth
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -312,6 +312,47 @@
 	assert.Less(t, got["t0"], 40)
 }
 
+// Neighbours on a target's machine change several times a second. A target that
+// says that it is slow now gets no work while others are free, and gets work
+// again soon after.
+func TestTargetThatSaysItIsSlowIsLeftAlone(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(6)...)
+	type end struct {
+		at time.Duration
+		Usage
+	}
+	now, got, open := time.Duration(0), map[string]int{}, []end{}
+	run := func(span time.Duration, slow string) {
+		got = map[string]int{}
+		for stop := now + span; now < stop; now += 5 * ms {
+			l.Ask(now, request(uint64(now), now))
+			for id, d := range take(l) {
+				e := end{now + 60*ms, Usage{ID: id, Result: Answered, Took: 60 * ms, Load: &LoadReport{Slots: 3, Slowdown: 1}}}
+				if d.Target == slow {
+					e.at, e.Took, e.Load.Slowdown = now+180*ms, 180*ms, 3
+				}
+				got[d.Target]++
+				open = append(open, e)
+			}
+			open = slices.DeleteFunc(open, func(e end) bool {
+				if e.at <= now {
+					l.Return(now, e.Usage)
+				}
+				return e.at <= now
+			})
+		}
+	}
+	run(time.Second, "")
+	before := got["t0"]
+	require.NotZero(t, before)
+	run(300*ms, "t0") // of which the target can tell nothing for 180 ms
+	run(700*ms, "t0")
+	assert.Less(t, got["t0"], before/4)
+	run(time.Second, "")
+	run(time.Second, "")
+	assert.Greater(t, got["t0"], before/2)
+}
+
 // A VM that was given slots and is gone must not keep them.
 func TestLostLoansExpire(t *testing.T) {
 	l := newLender(testConfig(), nil, pool(1)...)
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -1,6 +1,7 @@
 package lending
 
 import (
+	"math"
 	"time"
 
 	"github.com/mangogate/mangogate/core/quarantine"
@@ -40,6 +41,11 @@
 	// maxSlowness bounds the learned slowness, so that it is unlearned soon.
 	maxSlowness, minSlowness = 12.0, 0.2
 	shedPause                = 50 * time.Millisecond // about half of a request's work
+	// slowdownLife is how long a target's account of its slowdown counts:
+	// neighbours on its machine change several times a second.
+	slowdownLife = 300 * time.Millisecond
+	// maxSlowdown bounds what a target can say of itself.
+	maxSlowdown = 20.0
 )
 
 // target is a target with what the lender learned of it.
@@ -55,6 +61,8 @@
 	tokens        float64 // while cold
 	tokensAt      time.Duration
 	broken        []brokenLoan
+	slowdown      float64 // as the target last said, 1 if it works as usual
+	slowdownAt    time.Duration
 	queue         queue // requests for keys that the target holds
 	// answered is when each VM last got an answer: it may still have an idle
 	// connection.
@@ -70,7 +78,7 @@
 type routeStats struct{ work time.Duration }
 
 func newTarget(now time.Duration, info TargetInfo) *target {
-	return &target{TargetInfo: info, slowness: 1, tokensAt: now, answered: map[string]time.Duration{}}
+	return &target{TargetInfo: info, slowness: 1, slowdown: 1, tokensAt: now, answered: map[string]time.Duration{}}
 }
 
 func (l *Lender) expectedWork(route string) time.Duration {
@@ -158,7 +166,7 @@
 }
 
 func (l *Lender) expectedTime(now time.Duration, r *Request, t *target) float64 {
-	at := float64(l.expectedWork(r.Route)) * t.slowness * (1 + failCost*t.failing)
+	at := float64(l.expectedWork(r.Route)) * t.slowness * t.slowdownNow(now) * (1 + failCost*t.failing)
 	if t.DataCentre != r.DataCentre {
 		at += float64(crossingCost)
 	}
@@ -176,6 +184,7 @@
 // learn updates what is known of a target from the end of a request.
 func (l *Lender) learn(now time.Duration, n *loan, u Usage) {
 	t := n.target
+	t.noteSlowdown(now, u.Load)
 	switch u.Result {
 	case Answered, Failed:
 		l.learnWork(n, u)
@@ -196,6 +205,19 @@
 	}
 }
 
+// noteSlowdown keeps a target's account of how long work takes there now.
+func (t *target) noteSlowdown(now time.Duration, load *LoadReport) {
+	if load != nil && load.Slowdown > 0 {
+		t.slowdown, t.slowdownAt = min(load.Slowdown, maxSlowdown), now
+	}
+}
+
+// slowdownNow returns the factor by which work takes longer than usual, less as
+// the target's account of it gets older.
+func (t *target) slowdownNow(now time.Duration) float64 {
+	return 1 + (t.slowdown-1)*math.Exp2(-float64(now-t.slowdownAt)/float64(slowdownLife))
+}
+
 // noteShed gives a target that was full a pause. One that sheds although it
 // reports free slots fails at random; a pause would only waste its slots.
 func (t *target) noteShed(now time.Duration, load *LoadReport) {
@@ -226,11 +248,15 @@
 		s = &routeStats{work: workGuess}
 		l.routes[n.Route] = s
 	}
-	ratio := float64(u.Took) / float64(s.work)
 	t := n.target
+	took := float64(u.Took)
+	if u.Load != nil && u.Load.Slowdown > 1 {
+		took /= min(u.Load.Slowdown, maxSlowdown) // what neighbours cause passes
+	}
+	ratio := took / float64(s.work)
 	t.slowness += slownessWeight * (min(ratio, overdue*t.slowness) - t.slowness)
 	t.slowness = min(max(t.slowness, minSlowness), maxSlowness)
-	s.work += time.Duration(workWeight * (float64(u.Took)/t.slowness - float64(s.work)))
+	s.work += time.Duration(workWeight * (took/t.slowness - float64(s.work)))
 }
 
 // noteCrash puts the end of a target's process down to the requests whose
