A leader that stops hands its cells over

Cause: a VM that was stopped led its cells until its process ended; they then had no leader for the silence of 0.8 s and a claim, and all other VMs lent by themselves meanwhile. Change: at the begin of a planned stop the leader asks VMs in their order whether they would lead, writes the record of the successor, and tells it. What was learned of targets and routes goes with the question. A VM that asks the old leader for a slot is told the new record and asks there. A desk that ends answers the requests that wait at it, which hung until their deadline.

--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -11,6 +11,9 @@
 	Capacity float64 // slots, relative to those of a target of usual speed
 }
 
+// Pending tells whether a proposal waits for the store.
+func (m *Manager) Pending() bool { return m.pending != nil }
+
 // Propose returns the assignments after the next change, or false if nothing
 // is to change or a proposal is open. New owners have fence 0. The proposal
 // takes effect with Committed.
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -449,3 +449,29 @@
 	l.Return(1197*ms, Usage{ID: ids[0], Result: Answered, Took: 50 * ms})
 	assert.True(t, take(l)[201].Lent)
 }
+
+// A leader that stops under load hands over: its successor knows which targets
+// are slow from the first request on, but nothing of a later life of a target.
+func TestSuccessorKnowsWhatWasLearned(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(3)...)
+	for id := uint64(1); id < 200; id++ {
+		now := time.Duration(id) * 30 * ms
+		l.Ask(now, request(id, now))
+		for _, d := range take(l) {
+			took := 200 * ms
+			if d.Target == "t0" {
+				took *= 5
+			}
+			l.Return(now+ms, Usage{ID: d.ID, Result: Answered, Took: took})
+		}
+	}
+	targets := pool(3)
+	targets[2].Life = 2
+	next := newLender(testConfig(), nil, targets...)
+	next.Begin(l.Learned())
+	assert.Equal(t, l.ExpectedWork("r"), next.ExpectedWork("r"))
+	assert.Greater(t, next.Slowness("t0"), 1.5)
+	assert.Equal(t, 1.0, next.Slowness("t2"))
+	next.Ask(10*time.Second, request(1, 10*time.Second))
+	assert.NotEqual(t, "t0", take(next)[1].Target)
+}
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -13,6 +13,7 @@
 	"github.com/mangogate/mangogate/core/retry"
 	"github.com/mangogate/mangogate/node/eventlog"
 	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
 )
 
 // desk runs a lender: it feeds it targets and time, and hands its decisions to
@@ -33,13 +34,19 @@
 	seen    uint64 // version of the view that the targets were taken from
 	lastID  *atomic.Uint64
 	wake    chan struct{}
+	closed  chan struct{} // closed when the desk decides no more
+	closing sync.Once
 }
 
+// errClosed means that a desk decides no more: another VM leads.
+var errClosed = errors.New("another VM leads the cell now")
+
 func newDesk(s *Service, service string, cfg lending.Config) *desk {
 	d := &desk{
 		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
 		logger:  s.logger.With("service", service),
 		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
+		closed: make(chan struct{}),
 	}
 	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
 	return d
@@ -107,12 +114,26 @@
 	case dec := <-decided:
 		d.logDecision(a, dec)
 		return dec, nil
+	case <-d.closed:
+		go d.returnUnused(decided)
+		return lending.Decision{}, errClosed
 	case <-ctx.Done():
 		go d.returnUnused(decided)
 		return lending.Decision{}, ctx.Err()
 	}
 }
 
+// close ends the wait of all requests.
+func (d *desk) close() { d.closing.Do(func() { close(d.closed) }) }
+
+// begin takes what another leader has learned.
+func (d *desk) begin(learned lending.Learned) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(d.now())
+	d.lender.Begin(learned)
+}
+
 // logDecision logs refusals, and all decisions on sampled requests, with what
 // decided them.
 func (d *desk) logDecision(a LendArgs, dec lending.Decision) {
@@ -136,9 +157,14 @@
 		"view", seen, "view_age", d.view.Staleness(view.Targets))
 }
 
+// returnUnused returns the slot that a request which waits no more may still be lent.
 func (d *desk) returnUnused(decided chan lending.Decision) {
-	if dec := <-decided; dec.Lent {
-		d.giveBack(lending.Usage{ID: dec.ID, Result: lending.Unused})
+	select {
+	case dec := <-decided:
+		if dec.Lent {
+			d.giveBack(lending.Usage{ID: dec.ID, Result: lending.Unused})
+		}
+	case <-d.closed: // nobody lends any more
 	}
 }
 
--- /dev/null
+++ b/node/cell/handover_test.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mangogate/mangogate/core/lending"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// startLeader starts VMs and returns the one that leads and the others, once
+// these are lent slots by it.
+func startLeader(t *testing.T, store *memoryStore, n int) (*testVM, []*testVM) {
+	var vms []*testVM
+	for i := range n {
+		vms = append(vms, startVM(t, fmt.Sprintf("vm-%d", i), store))
+	}
+	require.Eventually(t, func() bool { return len(leaders(vms)) == 1 }, 8*time.Second, 20*time.Millisecond)
+	leader := leaders(vms)[0]
+	var others []*testVM
+	for _, vm := range vms {
+		if vm == leader {
+			continue
+		}
+		others = append(others, vm)
+		require.Eventually(t, func() bool {
+			slot, err := vm.Lend(context.Background(), testLend(vm))
+			require.NoError(t, err)
+			vm.Return(slot, lending.Usage{Result: lending.Answered, Took: time.Millisecond})
+			return slot.Lent && slot.By == leader.self.ID
+		}, 5*time.Second, 20*time.Millisecond)
+	}
+	return leader, others
+}
+
+func testLend(vm *testVM) LendArgs {
+	return LendArgs{Service: "s", VM: vm.self.ID, Route: "r", Idempotent: true, Objective: 300 * time.Millisecond, Deadline: time.Second, Key: 5}
+}
+
+// VMs are replaced one after the other while callers send requests. The leader
+// among them names another one before it stops: every slot is lent by a leader,
+// and no request has to do with a VM's small share.
+func TestPlannedStopOfLeaderLeavesNoGap(t *testing.T) {
+	leader, others := startLeader(t, &memoryStore{}, 3)
+	var alone, lent atomic.Int64
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			vm := others[i%len(others)]
+			slot, err := vm.Lend(context.Background(), testLend(vm))
+			if err == nil && slot.Lent {
+				lent.Add(1)
+				if slot.By == vm.self.ID && vm.leadOf("s") == nil {
+					alone.Add(1)
+				}
+				vm.Return(slot, lending.Usage{Result: lending.Answered, Took: time.Millisecond})
+			}
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	leader.Retire(context.Background())
+	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, silence, 5*time.Millisecond)
+	t.Logf("handed over after %s", time.Since(began))
+	time.Sleep(300 * time.Millisecond)
+	leader.stop()
+	time.Sleep(silence)
+	close(stop)
+	<-stopped
+	assert.Zero(t, alone.Load(), "slots lent without a leader, of %d", lent.Load())
+	assert.Greater(t, lent.Load(), int64(50))
+}
+
+// The last VM has nobody to hand over to: it leads until it ends.
+func TestLastVMLeadsUntilItStops(t *testing.T) {
+	leader, _ := startLeader(t, &memoryStore{}, 1)
+	leader.Retire(context.Background())
+	assert.NotNil(t, leader.leadOf("s"))
+}
+
+// The keys of a cell that was handed over stay where they are: the successor
+// goes on under the fences of the record.
+func TestHandoverMovesNoKeys(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	before, _ := leader.view.Cell("s")
+	leader.Retire(context.Background())
+	require.Eventually(t, func() bool { return others[0].leadOf("s") != nil }, silence, 5*time.Millisecond)
+	after, _ := others[0].view.Cell("s")
+	require.Equal(t, others[0].self.ID, after.Leader)
+	require.Len(t, after.Keys, len(before.Keys))
+	for i := range after.Keys {
+		assert.Equal(t, before.Keys[i].Owner, after.Keys[i].Owner)
+		assert.NotZero(t, after.Keys[i].Fence)
+	}
+}
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/mangogate/mangogate/core/fleet"
@@ -64,6 +65,7 @@
 	s      *Service
 	cancel context.CancelFunc
 	done   chan struct{}
+	frozen atomic.Bool // no new owners are proposed any more
 }
 
 func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
@@ -168,7 +170,7 @@
 
 // plan proposes new owners and writes them to the store.
 func (l *lead) plan(ctx context.Context) {
-	if l.mayGrant() != nil {
+	if l.frozen.Load() || l.mayGrant() != nil {
 		return
 	}
 	l.mu.Lock()
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/pkg/errors"
 )
@@ -27,24 +28,45 @@
 // Lend asks for a slot: the leader if it is heard, otherwise this VM's own
 // small share. The error is that of ctx.
 func (s *Service) Lend(ctx context.Context, a LendArgs) (Slot, error) {
-	if l := s.leadOf(a.Service); l != nil {
-		d, err := l.ask(ctx, a)
-		return Slot{Decision: d, service: a.Service, desk: l.desk, By: s.self.ID}, err
-	}
-	if slot, ok := s.lendRemote(ctx, a); ok || ctx.Err() != nil {
-		return slot, ctx.Err()
+	for range leadersAsked {
+		if l := s.leadNow(a.Service); l != nil {
+			d, err := l.ask(ctx, a)
+			if !errors.Is(err, errClosed) {
+				return Slot{Decision: d, service: a.Service, desk: l.desk, By: s.self.ID}, err
+			}
+		}
+		slot, answer := s.lendRemote(ctx, a)
+		switch {
+		case answer == decided || ctx.Err() != nil:
+			return slot, ctx.Err()
+		case answer == noLeader:
+			return s.lendAlone(ctx, a)
+		}
 	}
 	return s.lendAlone(ctx, a)
 }
 
-func (s *Service) lendRemote(ctx context.Context, a LendArgs) (Slot, bool) {
+// leadersAsked is how many leaders are asked for one slot: each but the first
+// when the one before has handed its cell over.
+const leadersAsked = 3
+
+// leaderAnswer is how a call to a leader ended.
+type leaderAnswer uint8
+
+const (
+	noLeader leaderAnswer = iota // none is known, or it does not answer
+	moved                        // another VM leads; its record is known now
+	decided
+)
+
+func (s *Service) lendRemote(ctx context.Context, a LendArgs) (Slot, leaderAnswer) {
 	c, _ := s.view.Cell(a.Service)
-	if c == nil || !s.heardLately(c.Leader, c.Boot) {
-		return Slot{}, false
+	if c == nil || c.Leader == s.self.ID || !s.heardOrNew(c) {
+		return Slot{}, noLeader
 	}
 	vm, ok := s.view.VM(c.Leader)
 	if !ok || vm.Boot != c.Boot {
-		return Slot{}, false
+		return Slot{}, noLeader
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
 	type answer struct {
@@ -66,18 +88,47 @@
 		if r.err != nil {
 			s.logger.Info("no answer from the leader", "request", a.RequestID, "service", a.Service, "leader", vm.ID, "error", r.err)
 			s.forget(c.Leader, c.Boot)
-			return Slot{}, false
+			return Slot{}, noLeader
 		}
 		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
-		return slot(r), r.reply.Leads
+		return slot(r), s.noteAnswer(c, r.reply)
 	case <-ctx.Done():
 		go func() {
 			if r := <-answered; r.err == nil && r.reply.Decision.Lent {
 				s.Return(slot(r), lending.Usage{Result: lending.Unused})
 			}
 		}()
-		return Slot{}, false
+		return Slot{}, noLeader
+	}
+}
+
+// noteAnswer takes the record of a cell that has another leader now.
+func (s *Service) noteAnswer(asked *fleet.Cell, reply LendReply) leaderAnswer {
+	if reply.Leads {
+		return decided
+	}
+	if err := s.view.Learn(reply.Moved); err != nil {
+		s.logger.Info("the record of a cell was not taken", "service", asked.Service, "error", err)
+	}
+	if now, _ := s.view.Cell(asked.Service); now != asked {
+		return moved
+	}
+	return noLeader
+}
+
+// heardOrNew tells whether a leader is to be asked: it was heard lately, or its
+// record has just come and nobody has asked it yet. The one before named it.
+func (s *Service) heardOrNew(c *fleet.Cell) bool {
+	if s.heardLately(c.Leader, c.Boot) {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, asked := s.heard[c.Leader+c.Boot]
+	if !asked { // the other requests do not wait for its answer
+		s.heard[c.Leader+c.Boot] = s.clock.Now() - silence
 	}
+	return !asked
 }
 
 // forget treats a leader as silent until it answers again.
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -33,7 +33,9 @@
 type LendReply struct {
 	Decision lending.Decision
 	// Leads is false if the VM does not lead the cell; nothing was decided.
+	// Moved is then the record of the cell, if the VM knows one.
 	Leads bool
+	Moved []view.Change
 }
 
 // ReturnArgs ends a loan.
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
 )
 
 // handler serves the calls of other VMs.
@@ -11,20 +13,35 @@
 
 // Lend implements the call of the same name.
 func (h *handler) Lend(a LendArgs, reply *LendReply) error {
-	l := h.s.leadOf(a.Service)
+	l := h.s.leadNow(a.Service)
 	if l == nil {
+		reply.Moved = h.s.recordOf(a.Service)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(h.s.ctx, a.Deadline)
 	defer cancel()
 	d, err := l.ask(ctx, a)
-	if err != nil {
+	switch {
+	case errors.Is(err, errClosed):
+		reply.Moved = h.s.recordOf(a.Service)
+		return nil
+	case err != nil:
 		d = lending.Decision{Reason: lending.Expired}
 	}
 	reply.Decision, reply.Leads = d, true
 	return nil
 }
 
+// recordOf returns the record of a cell as it is passed on, or nothing.
+func (s *Service) recordOf(service string) []view.Change {
+	c, err := s.view.Packed(view.System, view.CellKey(service))
+	if err != nil {
+		s.logger.Info("the record of a cell is not passed on", "service", service, "error", err)
+		return nil
+	}
+	return []view.Change{c}
+}
+
 // Return implements the call of the same name.
 func (h *handler) Return(a ReturnArgs, _ *struct{}) error {
 	if l := h.s.leadOf(a.Service); l != nil {
@@ -48,6 +65,17 @@
 	return nil
 }
 
+// leadNow returns the cell of a service if this VM leads it. A cell that was
+// handed to this VM a moment ago is begun.
+func (s *Service) leadNow(service string) *lead {
+	l := s.leadOf(service)
+	if c, _ := s.view.Cell(service); l == nil && c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot {
+		s.look()
+		l = s.leadOf(service)
+	}
+	return l
+}
+
 func (s *Service) leadOf(service string) *lead {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/view"
@@ -58,6 +59,9 @@
 	stopped context.CancelFunc
 	ctx     context.Context
 	wg      sync.WaitGroup
+	looking sync.Mutex // held while the cells are looked at
+	// retiring is set when this VM leads no more cells.
+	retiring atomic.Bool
 
 	mu       sync.Mutex
 	leads    map[string]*lead
@@ -66,6 +70,7 @@
 	heard    map[string]time.Duration // leader's process to the time of its last answer
 	quietAt  map[string]time.Duration // service to the time since when its leader is silent
 	cellSeen map[string]*fleet.Cell
+	offered  map[string]lending.Learned // by service: of a leader that may hand over
 }
 
 // Config assembles a Service.
@@ -89,6 +94,7 @@
 		solo:   metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leads:  map[string]*lead{}, solos: map[string]*desk{}, claiming: map[string]bool{},
 		heard: map[string]time.Duration{}, quietAt: map[string]time.Duration{}, cellSeen: map[string]*fleet.Cell{},
+		offered: map[string]lending.Learned{},
 	}
 	s.ctx, s.stopped = context.WithCancel(context.Background())
 	return s, c.Server.Register(RPCName, &handler{s})
@@ -117,6 +123,7 @@
 	for _, l := range leads {
 		l.cancel()
 		<-l.done
+		l.close()
 	}
 	s.wg.Wait()
 	return nil
@@ -125,16 +132,23 @@
 func (s *Service) watch() {
 	defer s.wg.Done()
 	for s.ctx.Err() == nil {
-		if cfg, _ := s.view.Config(); cfg != nil && s.view.Ready() {
-			for _, svc := range cfg.Services {
-				s.lookAt(svc)
-			}
-			s.tickSolos()
-		}
+		s.look()
+		s.tickSolos()
 		time.Sleep(watchPause)
 	}
 }
 
+// look starts, stops or claims the leadership of all cells.
+func (s *Service) look() {
+	s.looking.Lock()
+	defer s.looking.Unlock()
+	if cfg, _ := s.view.Config(); cfg != nil && s.view.Ready() && s.ctx.Err() == nil {
+		for _, svc := range cfg.Services {
+			s.lookAt(svc)
+		}
+	}
+}
+
 // lookAt starts, stops or claims the leadership of one cell.
 func (s *Service) lookAt(svc fleet.Service) {
 	c, number := s.view.Cell(svc.Name)
@@ -150,7 +164,7 @@
 	case mine:
 		m, _ := s.inherit(svc, true)
 		s.begin(svc.Name, m, number)
-	case s.shouldClaim(svc.Name, c):
+	case !s.retiring.Load() && s.shouldClaim(svc.Name, c):
 		s.mu.Lock()
 		s.claiming[svc.Name] = true
 		s.mu.Unlock()
@@ -183,6 +197,10 @@
 		return
 	}
 	l := s.newLead(service, m)
+	if learned, ok := s.offered[service]; ok {
+		l.begin(learned)
+		delete(s.offered, service)
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	l.cancel = cancel
 	s.leads[service] = l
@@ -191,11 +209,12 @@
 }
 
 func (s *Service) end(service string, l *lead, why string) {
-	l.cancel()
-	<-l.done
 	s.mu.Lock()
 	delete(s.leads, service)
 	s.mu.Unlock()
+	l.cancel()
+	<-l.done
+	l.close()
 	s.logger.Info("no longer leads a cell", "service", service, "why", why)
 }
 
@@ -247,10 +266,7 @@
 // ended comes last.
 func (s *Service) rank(service string, c *fleet.Cell) int {
 	vms := s.view.VMs()
-	large := 0.0
-	for _, vm := range vms {
-		large = max(large, vm.Cores*largeShare)
-	}
+	large := largest(vms)
 	rank := 0
 	for _, vm := range vms {
 		if vm.ID != s.self.ID && (c == nil || vm.ID != c.Leader) && goesBefore(service, vm, s.self, large) {
@@ -264,6 +280,16 @@
 // VM counts as large.
 const largeShare = 0.5
 
+// largest returns the processor time from which on a VM counts as large.
+func largest(vms []fleet.VM) float64 {
+	large := 0.0
+	for _, vm := range vms {
+		large = max(large, vm.Cores*largeShare)
+	}
+	return large
+}
+
+// goesBefore tells whether a VM is rather to lead a service than another one.
 func goesBefore(service string, a, b fleet.VM, large float64) bool {
 	if aLarge, bLarge := a.Cores >= large, b.Cores >= large; aLarge != bLarge {
 		return aLarge
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -118,10 +118,11 @@
 func (s *Service) noteHeard(id, boot, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.heard[id+boot]; !known {
+	now := s.clock.Now()
+	if at, known := s.heard[id+boot]; !known || now-at >= silence {
 		s.logger.Info("vm is heard", "vm", id, "boot", boot, "peer", address)
 	}
-	s.heard[id+boot] = s.clock.Now()
+	s.heard[id+boot] = now
 }
 
 // noteLost logs the first failure after a success.
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -54,6 +54,7 @@
 	registry metrics.Registry
 	drain    atomic.Pointer[gateway.Drain]
 	clients  []*upstream.Client
+	cells    *cell.Service
 	tending  context.CancelFunc
 }
 
@@ -84,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	r.cells = cells
 	g := gateway.New(gateway.Config{
 		VM: self, Wire: a.Wire(), View: v, Cells: cells, Targets: r.targets(local), Clock: c,
 		Logger: r.logger.Named("gateway"), Registry: r.registry,
@@ -120,8 +122,10 @@
 	return r.kernel.Start(ctx)
 }
 
-// Stop finishes the requests of callers and stops all modules.
+// Stop hands over the cells that the VM leads, finishes the requests of callers
+// and stops all modules.
 func (r *Router) Stop(ctx context.Context) error {
 	defer r.tending()
+	go r.cells.Retire(ctx)
 	return r.kernel.Stop(ctx)
 }
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -298,6 +298,29 @@
 	v.graceUntil = v.now() + grace
 }
 
+// Packed returns the newest change of a key as it is passed on to another VM.
+func (v *View) Packed(l Log, key string) (Change, error) {
+	v.mu.RLock()
+	e := v.entries[l][key]
+	v.mu.RUnlock()
+	if e == nil {
+		return Change{}, errors.Errorf("log %s has no key %q", l, key)
+	}
+	return e.packed()
+}
+
+// Learn takes changes that another VM passes on by themselves. Records before
+// them may be unknown, so the logs are read as before.
+func (v *View) Learn(changes []Change) error {
+	if err := unpackAll(changes); err != nil {
+		return err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.apply(changes)
+	return nil
+}
+
 // Since returns what another VM that knows the logs up to ends does not know.
 func (v *View) Since(ends [numLogs]int64) Batch {
 	v.mu.RLock()
