Hand a cell over when the store turns its leader away

The targets of a data centre went down at 19 s: the leader could not write new owners, and keys without owner and the queue behind them made 2,176 to 2,292 refusals in two seconds. Change: a leader whose assignments have waited for 0.7 s although other VMs read the store asks one of them to lead. The successor writes the record itself, also at a planned stop. From the question on the old leader grants nothing; it goes on only after a record of its own, so that a late record of a VM that was asked cannot meet it. Tests: TestLeaderThatCannotWriteHandsOver, seen to fail without it. TestHandoverMovesNoKeys checked the fences of the record, which are new now; it checks that the keys stay held instead.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -13,25 +13,27 @@
 )
 
 const (
-	// handoverTimeout bounds a planned change of leader. Without one the cell
-	// gets a leader as after a loss.
+	// handoverTimeout bounds a change of leader that the old one asks for.
+	// Without one the cell gets a leader as after a loss.
 	handoverTimeout = 1500 * time.Millisecond
 	// candidatesAsked is how many VMs are asked one after the other.
 	candidatesAsked = 4
-	pendingPoll     = 10 * time.Millisecond
+	// unwrittenAfter is how long assignments wait for a store that other VMs
+	// reach until the cell is handed to one of them: several appends.
+	unwrittenAfter = 700 * time.Millisecond
+	// passOnPause is the pause between two tries to hand a cell over.
+	passOnPause = 2 * time.Second
 )
 
-// TakeArgs asks a VM whether it would lead a cell.
+// TakeArgs asks a VM to lead a cell in place of the VM that asks.
 type TakeArgs struct {
 	Service string
+	Change  uint64 // of the record that names the old leader
 	Learned lending.Learned
 }
 
-// TakeReply is its answer.
-type TakeReply struct{ Willing bool }
-
-// LearnArgs tells a VM of records before it would read them.
-type LearnArgs struct{ Changes []view.Change }
+// TakeReply is its answer: the record that names the new leader, or none.
+type TakeReply struct{ Record []view.Change }
 
 // Retire hands all cells that this VM leads to others, and keeps it from
 // leading any more. It is called when the VM is about to stop.
@@ -47,109 +49,124 @@
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, l := range leads {
-		wg.Go(func() {
-			if err := s.handOver(ctx, l); err != nil {
-				s.logger.Info("a cell was not handed over", "service", l.service, "error", err)
-			}
-		})
+		wg.Go(func() { s.handOver(ctx, l, "the VM stops") })
 	}
 	wg.Wait()
 }
 
-// handOver names another VM as the leader of a cell and tells it so.
-func (s *Service) handOver(ctx context.Context, l *lead) error {
-	next, ok := s.successor(ctx, l)
-	if !ok {
-		return errors.New("no VM is willing to lead it")
-	}
-	record := &fleet.Cell{Service: l.service, Leader: next.ID, Boot: next.Boot}
-	if err := l.freeze(ctx); err != nil {
-		return err
+// handOver asks other VMs to lead a cell until one does. From the first
+// question on this VM grants no keys any more: an answer may be lost, and the
+// new leader counts on it.
+func (s *Service) handOver(ctx context.Context, l *lead, why string) {
+	c, _ := s.view.Cell(l.service)
+	if c == nil || !l.leads() || !l.ceded.CompareAndSwap(false, true) {
+		return
 	}
 	l.mu.Lock()
-	if l.keys != nil {
-		record.Keys = l.keys.Assignments()
-	}
+	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned()}
 	l.mu.Unlock()
-	number, err := s.write(ctx, record)
-	if err != nil {
-		return errors.Wrap(err, "write the record of the new leader")
+	for _, vm := range s.candidates(l.service) {
+		var reply TakeReply
+		err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Take", args, &reply)
+		if err == nil && len(reply.Record) > 0 {
+			err = s.view.Learn(reply.Record)
+		}
+		if !l.leads() {
+			s.logger.Info("handed a cell over", "service", l.service, "to", vm.ID, "why", why)
+			return
+		}
+		s.logger.Info("a VM does not take a cell", "service", l.service, "vm", vm.ID, "error", err)
 	}
-	s.logger.Info("handed a cell over", "service", l.service, "to", next.ID, "boot", next.Boot, "number", number)
-	return errors.Wrapf(s.tell(ctx, next, l.service), "tell %s", next.ID)
+	l.reclaim(ctx)
 }
 
-// successor returns the first VM, in the order in which they would replace a
-// leader, that is willing to lead a cell.
-func (s *Service) successor(ctx context.Context, l *lead) (fleet.VM, bool) {
-	vms := slices.DeleteFunc(s.view.VMs(), func(vm fleet.VM) bool { return vm.ID == s.self.ID })
+// candidates returns the VMs that are asked to lead a service, in the order in
+// which they would replace a leader.
+func (s *Service) candidates(service string) []fleet.VM {
+	vms := s.others("")
 	large := largest(vms)
 	slices.SortFunc(vms, func(a, b fleet.VM) int {
-		if goesBefore(l.service, a, b, large) {
+		if goesBefore(service, a, b, large) {
 			return -1
 		}
 		return 1
 	})
-	l.mu.Lock()
-	args := TakeArgs{Service: l.service, Learned: l.lender.Learned()}
-	l.mu.Unlock()
-	for _, vm := range vms[:min(candidatesAsked, len(vms))] {
-		call, cancel := context.WithTimeout(ctx, syncTimeout)
-		var reply TakeReply
-		err := s.peers.Call(call, vm.PeerAddress, RPCName+".Take", args, &reply)
-		cancel()
-		if err == nil && reply.Willing {
-			return vm, true
-		}
-		s.logger.Info("a VM does not take a cell", "service", l.service, "vm", vm.ID, "error", err)
-	}
-	return fleet.VM{}, false
+	return vms[:min(candidatesAsked, len(vms))]
 }
 
-// freeze waits until no assignment waits for the store, and keeps new ones from
-// being proposed.
-func (l *lead) freeze(ctx context.Context) error {
-	l.frozen.Store(true)
-	for {
-		l.mu.Lock()
-		open := l.keys != nil && l.keys.Pending()
-		l.mu.Unlock()
-		if !open {
-			return nil
-		}
-		if ctx.Err() != nil {
-			l.frozen.Store(false)
-			return errors.Wrap(ctx.Err(), "wait for assignments to be written")
-		}
-		time.Sleep(pendingPoll)
+// reclaim lets a leader that found no successor go on. One of the VMs that were
+// asked may still write its record, so that this VM writes a new one first.
+func (l *lead) reclaim(ctx context.Context) {
+	c, _ := l.view.Cell(l.service)
+	if c == nil || !l.leads() {
+		return
+	}
+	if _, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys}); err != nil {
+		l.logger.Warn("grants no keys until another VM leads: it was asked to and may do so yet", "error", err)
+		return
 	}
+	l.ceded.Store(false)
 }
 
-// tell passes the newest record of a cell to a VM.
-func (s *Service) tell(ctx context.Context, vm fleet.VM, service string) error {
-	c, err := s.view.Packed(view.System, view.CellKey(service))
-	if err != nil {
-		return err
+// passOn hands the cell to a VM that reaches the store, once assignments have
+// waited for long although other VMs read the store.
+func (l *lead) passOn(ctx context.Context) {
+	now := l.now()
+	l.mu.Lock()
+	waits := l.keys != nil && l.keys.Pending() && now-l.proposedAt > unwrittenAfter && now-l.passedAt > passOnPause
+	if waits {
+		l.passedAt = now
+	}
+	l.mu.Unlock()
+	if waits && l.leads() && l.view.Staleness(view.System) < supportAfter {
+		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+		defer cancel()
+		l.s.handOver(ctx, l, "the store turns the VM away")
 	}
-	return s.peers.Call(ctx, vm.PeerAddress, RPCName+".Learn", LearnArgs{Changes: []view.Change{c}}, &struct{}{})
 }
 
 // Take implements the call of the same name.
 func (h *handler) Take(a TakeArgs, reply *TakeReply) error {
-	reply.Willing = !h.s.retiring.Load() && h.s.view.Ready()
-	if reply.Willing {
-		h.s.mu.Lock()
-		h.s.offered[a.Service] = a.Learned
-		h.s.mu.Unlock()
+	cfg, _ := h.s.view.Config()
+	if h.s.retiring.Load() || cfg == nil || !h.s.view.Ready() {
+		return errors.New("the VM leads no more cells now")
+	}
+	svc, ok := cfg.Service(a.Service)
+	if !ok {
+		return errors.Errorf("the configuration has no service %q", a.Service)
+	}
+	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
+	defer cancel()
+	if err := h.s.take(ctx, svc, a); err != nil {
+		return err
 	}
+	reply.Record = h.s.recordOf(a.Service)
 	return nil
 }
 
-// Learn implements the call of the same name.
-func (h *handler) Learn(a LearnArgs, _ *struct{}) error {
-	if err := h.s.view.Learn(a.Changes); err != nil {
-		return err
+// take makes this VM the leader of a cell whose leader has asked it to.
+func (s *Service) take(ctx context.Context, svc fleet.Service, a TakeArgs) error {
+	s.mu.Lock()
+	busy := s.claiming[svc.Name]
+	s.claiming[svc.Name] = true
+	s.mu.Unlock()
+	if busy {
+		return errors.New("the VM claims the cell already")
 	}
-	h.s.look()
-	return nil
+	defer func() {
+		s.mu.Lock()
+		delete(s.claiming, svc.Name)
+		s.mu.Unlock()
+	}()
+	if err := s.readSystem(ctx); err != nil {
+		return errors.Wrap(err, "read the system's log before taking a cell")
+	}
+	c, _ := s.view.Cell(svc.Name)
+	if c == nil || c.Change != a.Change {
+		return errDeposed
+	}
+	s.mu.Lock()
+	s.offered[svc.Name] = a.Learned
+	s.mu.Unlock()
+	return s.claim(ctx, svc, c, 0)
 }
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -66,9 +66,13 @@
 	s      *Service
 	cancel context.CancelFunc
 	done   chan struct{}
-	frozen atomic.Bool // no new owners are proposed any more
-	// support counts the VMs that follow this leader. It is guarded by mu.
-	support support.Leader
+	// ceded is set once another VM was asked to lead in place of this one.
+	ceded atomic.Bool
+	// support counts the VMs that follow this leader. It and the times are
+	// guarded by mu.
+	support    support.Leader
+	proposedAt time.Duration // of the assignments that wait for the store
+	passedAt   time.Duration // when other VMs were last asked to lead
 }
 
 func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
@@ -94,6 +98,7 @@
 			nextKeys = now + keyTick
 			if now >= nextPlan {
 				l.plan(ctx)
+				go l.passOn(ctx)
 				nextPlan = now + planPause
 			}
 		}
@@ -128,7 +133,7 @@
 // mayGrant tells whether this VM may still grant keys: the store has confirmed
 // lately that it leads, or most VMs follow it.
 func (l *lead) mayGrant() error {
-	if l.leads() && (l.confirmed() || l.supported()) {
+	if l.leads() && !l.ceded.Load() && (l.confirmed() || l.supported()) {
 		return nil
 	}
 	return errNoAuthority
@@ -193,13 +198,16 @@
 
 // plan proposes new owners and writes them to the store.
 func (l *lead) plan(ctx context.Context) {
-	if l.frozen.Load() || !l.leads() || !l.confirmed() {
+	if l.ceded.Load() || !l.leads() || !l.confirmed() {
 		return
 	}
 	l.mu.Lock()
 	now := l.now()
 	l.load.Decay(now)
 	assignments, change := l.keys.Propose(now, l.candidates(now), l.load)
+	if change {
+		l.proposedAt = now
+	}
 	l.mu.Unlock()
 	if change {
 		go l.commit(ctx, assignments)
