The VM that reads for all hands that over when the store turns it away

The store was silent to the reading VM for 7 s; what the other 75 knew grew older than 0.8 s and each of them read both logs for itself again and again. Followers read for themselves at ages of 0.8 to 1.3 s that differ by VM, so that those that wait longer learn from those that have read.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,10 +43,7 @@
 	defer cancel()
 	s.retiring.Store(true)
 	s.mu.Lock()
-	leads := make([]*lead, 0, len(s.leads))
-	for _, l := range s.leads {
-		leads = append(leads, l)
-	}
+	leads := slices.Collect(maps.Values(s.leads))
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, l := range leads {
@@ -108,21 +106,40 @@
 	l.ceded.Store(false)
 }
 
-// passOn hands the cell to a VM that reaches the store, once assignments have
-// waited for long although other VMs read the store.
+// StoreFails hands all cells to VMs that reach the store, if there are some:
+// the VM that leads the first cell reads it for the others.
+func (s *Service) StoreFails() {
+	s.mu.Lock()
+	leads := slices.Collect(maps.Values(s.leads))
+	s.mu.Unlock()
+	for _, l := range leads {
+		go l.passOn(s.ctx)
+	}
+}
+
+// unwritten tells whether assignments have waited for long for the store.
+func (l *lead) unwritten() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keys != nil && l.keys.Pending() && l.now()-l.proposedAt > unwrittenAfter
+}
+
+// passOn hands the cell to a VM that reaches the store, if others do: this VM
+// learns from them what is new there.
 func (l *lead) passOn(ctx context.Context) {
-	now := l.now()
 	l.mu.Lock()
-	waits := l.keys != nil && l.keys.Pending() && now-l.proposedAt > unwrittenAfter && now-l.passedAt > passOnPause
-	if waits {
+	now := l.now()
+	tried := l.passedAt > 0 && now-l.passedAt < passOnPause
+	if !tried {
 		l.passedAt = now
 	}
 	l.mu.Unlock()
-	if waits && l.leads() && l.view.Staleness(view.System) < supportAfter {
-		ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
-		defer cancel()
-		l.s.handOver(ctx, l, "the store turns the VM away")
+	if tried || !l.leads() || l.view.Staleness(view.System) > supportAfter {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	l.s.handOver(ctx, l, "the store turns the VM away")
 }
 
 // Take implements the call of the same name.
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -72,7 +72,7 @@
 	// guarded by mu.
 	support    support.Leader
 	proposedAt time.Duration // of the assignments that wait for the store
-	passedAt   time.Duration // when other VMs were last asked to lead
+	passedAt   time.Duration // when other VMs were last asked to lead, 0 if never
 }
 
 func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
@@ -98,7 +98,9 @@
 			nextKeys = now + keyTick
 			if now >= nextPlan {
 				l.plan(ctx)
-				go l.passOn(ctx)
+				if l.unwritten() {
+					go l.passOn(ctx)
+				}
 				nextPlan = now + planPause
 			}
 		}
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"io"
 	"sync"
 	"time"
 
@@ -25,6 +27,9 @@
 	// below the 2 s in which changes have to be in force.
 	readerAge   = 300 * time.Millisecond
 	followerAge = 800 * time.Millisecond
+	// followerSpread keeps the others from reading at once when the reading VM
+	// is lost: those that wait longer learn from those that have read.
+	followerSpread = 500 * time.Millisecond
 	// startAge holds before there is a configuration: all VMs wait for it.
 	startAge = 1500 * time.Millisecond
 	// systemAge is how old a leader's knowledge of the system's own log may
@@ -52,6 +57,8 @@
 	Reads() bool
 	// Leads tells whether this VM leads any cell.
 	Leads() bool
+	// StoreFails is told while the store has not answered this VM for some time.
+	StoreFails()
 }
 
 // Feed is the module.
@@ -61,6 +68,7 @@
 	store  view.Store
 	clock  *clock.Clock
 	roles  Roles
+	spread time.Duration
 	logger hclog.Logger
 	calls  metrics.Counter
 	failed metrics.Counter
@@ -75,7 +83,7 @@
 // New returns a feed.
 func New(self fleet.VM, v *view.View, store view.Store, c *clock.Clock, roles Roles, logger hclog.Logger, registry metrics.Registry) *Feed {
 	return &Feed{
-		self: self, view: v, store: store, clock: c, roles: roles, logger: logger,
+		self: self, view: v, store: store, clock: c, roles: roles, spread: spreadOf(self.ID), logger: logger,
 		calls:  metrics.GetOrRegisterCounter("store.reads", registry),
 		failed: metrics.GetOrRegisterCounter("store.reads_failed", registry),
 	}
@@ -129,7 +137,9 @@
 			continue
 		}
 		err := f.read(ctx, l)
-		f.noteResult(err)
+		if f.noteResult(err) {
+			f.roles.StoreFails()
+		}
 		if err == nil || ctx.Err() != nil {
 			pause = firstPause
 			continue
@@ -158,7 +168,14 @@
 	case !f.view.Ready():
 		return startAge
 	}
-	return followerAge
+	return followerAge + f.spread
+}
+
+// spreadOf returns a part of followerSpread that differs between VMs.
+func spreadOf(vm string) time.Duration {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, vm) // a hash does not fail
+	return time.Duration(h.Sum32()%1000) * followerSpread / 1000
 }
 
 func (f *Feed) read(ctx context.Context, l view.Log) error {
@@ -186,27 +203,29 @@
 // forever is the staleness from which on a log was never read.
 const forever = 1 << 61
 
-// noteResult logs when the store is lost and when it is regained.
-func (f *Feed) noteResult(err error) {
+// noteResult logs when the store is lost and when it is regained, and tells
+// whether it is lost.
+func (f *Feed) noteResult(err error) (away bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	if err != nil {
-		f.failed.Inc(1)
-		if f.failingAt == 0 {
-			f.failingAt = now
-		}
-		if !f.away && now-f.failingAt > outageAfter {
-			f.away = true
-			f.logger.Warn("the store is lost", "failing_for", now-f.failingAt, "error", err)
+	if err == nil {
+		if f.away {
+			f.logger.Warn("the store is regained", "after", now-f.failingAt)
+			f.view.OutageEnded(returnGrace)
 		}
-		return
+		f.failingAt, f.away = 0, false
+		return false
+	}
+	f.failed.Inc(1)
+	if f.failingAt == 0 {
+		f.failingAt = now
 	}
-	if f.away {
-		f.logger.Warn("the store is regained", "after", now-f.failingAt)
-		f.view.OutageEnded(returnGrace)
+	if !f.away && now-f.failingAt > outageAfter {
+		f.away = true
+		f.logger.Warn("the store is lost", "failing_for", now-f.failingAt, "error", err)
 	}
-	f.failingAt, f.away = 0, false
+	return f.away
 }
 
 func sleep(ctx context.Context, d time.Duration) {
