Sum up a cell's lending in a line every two seconds

Change: the leader logs what it lent and refused by reason, what waits, its targets and slots, and ranges by state. Test: TestCountsTellEachDecisionOnce.

--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -208,6 +208,28 @@
 	return failing
 }
 
+// Counts sums up the state of a Manager.
+type Counts struct {
+	Ranges, Moving, Lost int
+	KeysLost             int // keys of the ranges that are lost
+	Pending              bool
+}
+
+// Counts returns the state of all ranges.
+func (m *Manager) Counts(now time.Duration) Counts {
+	c := Counts{Ranges: len(m.parts), Pending: m.pending != nil}
+	for _, p := range m.parts {
+		switch _, state, _ := m.Owner(now, p.From); state {
+		case Moving:
+			c.Moving++
+		case Lost:
+			c.Lost++
+			c.KeysLost += p.To - p.From + 1
+		}
+	}
+	return c
+}
+
 func (m *Manager) find(key int) *part {
 	lo, hi := 0, len(m.parts)-1
 	for lo < hi {
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -124,6 +124,9 @@
 	refused map[quarantine.Fingerprint]refusal
 	out     []Decision
 	started bool
+
+	lentCount    int // since the last TakeCounts
+	refusedCount map[Reason]int
 }
 
 type loan struct {
@@ -162,7 +165,7 @@
 		targets: map[string]*target{}, lent: map[uint64]*loan{}, routes: map[string]*routeStats{},
 		budget:  retry.NewBudget(cfg.Budget, 0),
 		crashes: quarantine.New(quarantine.DefaultConfig()),
-		refused: map[quarantine.Fingerprint]refusal{},
+		refused: map[quarantine.Fingerprint]refusal{}, refusedCount: map[Reason]int{},
 	}
 }
 
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -475,3 +475,26 @@
 	next.Ask(10*time.Second, request(1, 10*time.Second))
 	assert.NotEqual(t, "t0", take(next)[1].Target)
 }
+
+// The line that sums up a cell's lending must tell each decision once.
+func TestCountsTellEachDecisionOnce(t *testing.T) {
+	l := newLender(testConfig(), nil, pool(1)...)
+	fill(l, 0, 3)
+	for i := range 40 {
+		l.Ask(ms, request(uint64(i+1), ms))
+	}
+	refused := 0
+	for _, d := range take(l) {
+		if !d.Lent {
+			refused++
+		}
+	}
+	require.NotZero(t, refused)
+	c := l.TakeCounts(ms)
+	assert.Equal(t, 3, c.Lent)
+	assert.Equal(t, map[Reason]int{Overload: refused}, c.Refused)
+	assert.Equal(t, 40-refused, c.Waiting)
+	assert.Equal(t, []int{1, 3, 3}, []int{c.Targets, c.Slots, c.InFlight})
+	again := l.TakeCounts(ms)
+	assert.Zero(t, again.Lent+len(again.Refused))
+}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -319,6 +319,7 @@
 
 func (l *Lender) lend(now time.Duration, r *Request, t *target) {
 	t.lend(now)
+	l.lentCount++
 	l.lent[r.ID] = &loan{Request: *r, target: t, sent: now}
 	l.out = append(l.out, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
 }
@@ -337,6 +338,7 @@
 	d.RetryAfter = min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
 	d.RetryAfter += time.Duration(retrySpread * l.rng.Float64() * float64(d.RetryAfter))
 	l.out = append(l.out, d)
+	l.refusedCount[d.Reason]++
 	if len(l.refused) < maxRefusals && !r.Idempotent && r.Print != 0 {
 		l.refused[r.Print] = refusal{since: r.since, at: now}
 	}
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -31,6 +31,9 @@
 	keyTick = 50 * time.Millisecond
 	// planPause is the pause between two plans: hot keys move within a second.
 	planPause = 400 * time.Millisecond
+	// summaryPause is the pause between two lines that sum up the lending of a
+	// cell: short beside the outages that they explain.
+	summaryPause = 2 * time.Second
 	// unreachableAfter is how long calls to an owner fail until its keys move.
 	unreachableAfter = 800 * time.Millisecond
 	// coldCapacity is the capacity of a cold target, which works at half speed
@@ -90,7 +93,7 @@
 	if l.keys != nil {
 		go l.keepSupport(ctx)
 	}
-	nextKeys, nextPlan := l.now(), l.now()
+	nextKeys, nextPlan, nextSummary := l.now(), l.now(), l.now()+summaryPause
 	for {
 		pause := l.tick()
 		if now := l.now(); l.keys != nil && now >= nextKeys {
@@ -104,6 +107,10 @@
 				nextPlan = now + planPause
 			}
 		}
+		if now := l.now(); now >= nextSummary {
+			l.summarize(now)
+			nextSummary = now + summaryPause
+		}
 		if l.keys != nil {
 			pause = min(pause, keyTick)
 		}
@@ -121,6 +128,24 @@
 	}
 }
 
+// summarize logs what the lender did lately. Refusals are too many for a line
+// each when there are most of them.
+func (l *lead) summarize(now time.Duration) {
+	l.mu.Lock()
+	c := l.lender.TakeCounts(now)
+	var keys keyspace.Counts
+	if l.keys != nil {
+		keys = l.keys.Counts(now)
+	}
+	l.mu.Unlock()
+	if c.Lent == 0 && len(c.Refused) == 0 {
+		return
+	}
+	l.logger.Info("lending", "lent", c.Lent, "refused", c.Refused, "waiting", c.Waiting, "targets", c.Targets, "cold", c.Cold,
+		"avoided", c.Avoided, "slots", c.Slots, "in_flight", c.InFlight, "ranges", keys.Ranges, "moving", keys.Moving, "lost", keys.Lost,
+		"keys_without_owner", keys.KeysLost, "unwritten", keys.Pending)
+}
+
 // keepSupport asks for support until ctx ends.
 func (l *lead) keepSupport(ctx context.Context) {
 	for ctx.Err() == nil {
