A deputy goes on for a leader that stops while the store is away

Change: a leader that stops and finds no VM that can write asks one to act for it. The deputy lends and renews under the fences of the record, with the support of most VMs in the leader's name, changes no owner, tells all VMs, and leads by its own record as soon as the store takes it.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -75,6 +75,9 @@
 		}
 		s.logger.Info("a VM does not take a cell", "service", l.service, "vm", vm.ID, "error", err)
 	}
+	if s.retiring.Load() && s.appoint(ctx, l) {
+		return
+	}
 	l.reclaim(ctx)
 }
 
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -71,6 +71,9 @@
 	done   chan struct{}
 	// ceded is set once another VM was asked to lead in place of this one.
 	ceded atomic.Bool
+	// acts is the record of the leader for which this VM acts, nil if it leads itself.
+	acts       *fleet.Cell
+	takingOver atomic.Bool
 	// support counts the VMs that follow this leader. It and the times are
 	// guarded by mu.
 	support    support.Leader
@@ -166,9 +169,13 @@
 	return errNoAuthority
 }
 
-// leads tells whether the newest known record of the cell names this VM.
+// leads tells whether the newest known record of the cell names this VM, or the
+// leader for which it acts.
 func (l *lead) leads() bool {
 	c, _ := l.view.Cell(l.service)
+	if l.acts != nil {
+		return c == l.acts
+	}
 	return c != nil && c.Leader == l.s.self.ID && c.Boot == l.s.self.Boot
 }
 
@@ -228,6 +235,10 @@
 	if l.ceded.Load() || !l.leads() || !l.confirmed() {
 		return
 	}
+	if l.acts != nil {
+		go l.takeOver(ctx)
+		return
+	}
 	l.mu.Lock()
 	now := l.now()
 	l.load.Decay(now)
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -60,12 +60,8 @@
 )
 
 func (s *Service) lendRemote(ctx context.Context, a LendArgs) (Slot, leaderAnswer) {
-	c, _ := s.view.Cell(a.Service)
-	if c == nil || c.Leader == s.self.ID || !s.heardOrNew(c) {
-		return Slot{}, noLeader
-	}
-	vm, ok := s.view.VM(c.Leader)
-	if !ok || vm.Boot != c.Boot {
+	vm, c, ok := s.acting(a.Service)
+	if !ok || vm.ID == s.self.ID || !s.heardOrNew(vm) {
 		return Slot{}, noLeader
 	}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
@@ -87,11 +83,11 @@
 	case r := <-answered:
 		if r.err != nil {
 			s.logger.Info("no answer from the leader", "request", a.RequestID, "service", a.Service, "leader", vm.ID, "error", r.err)
-			s.forget(c.Leader, c.Boot)
+			s.forget(vm.ID, vm.Boot)
 			return Slot{}, noLeader
 		}
 		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
-		return slot(r), s.noteAnswer(c, r.reply)
+		return slot(r), s.noteAnswer(vm, c, r.reply)
 	case <-ctx.Done():
 		go func() {
 			if r := <-answered; r.err == nil && r.reply.Decision.Lent {
@@ -102,31 +98,34 @@
 	}
 }
 
-// noteAnswer takes the record of a cell that has another leader now.
-func (s *Service) noteAnswer(asked *fleet.Cell, reply LendReply) leaderAnswer {
+// noteAnswer takes what a VM that does not lead a cell any more knows of it.
+func (s *Service) noteAnswer(asked fleet.VM, c *fleet.Cell, reply LendReply) leaderAnswer {
 	if reply.Leads {
 		return decided
 	}
 	if err := s.view.Learn(reply.Moved); err != nil {
-		s.logger.Info("the record of a cell was not taken", "service", asked.Service, "error", err)
+		s.logger.Info("the record of a cell was not taken", "service", c.Service, "error", err)
+	}
+	if reply.Deputy != nil {
+		s.noteDeputy(*reply.Deputy)
 	}
-	if now, _ := s.view.Cell(asked.Service); now != asked {
+	if now, _, ok := s.acting(c.Service); ok && (now.ID != asked.ID || now.Boot != asked.Boot) {
 		return moved
 	}
 	return noLeader
 }
 
-// heardOrNew tells whether a leader is to be asked: it was heard lately, or its
-// record has just come and nobody has asked it yet. The one before named it.
-func (s *Service) heardOrNew(c *fleet.Cell) bool {
-	if s.heardLately(c.Leader, c.Boot) {
+// heardOrNew tells whether a leader is to be asked: it was heard lately, or it
+// has just become known and nobody has asked it yet.
+func (s *Service) heardOrNew(vm fleet.VM) bool {
+	if s.heardLately(vm.ID, vm.Boot) {
 		return true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, asked := s.heard[c.Leader+c.Boot]
+	_, asked := s.heard[vm.ID+vm.Boot]
 	if !asked { // the other requests do not wait for its answer
-		s.heard[c.Leader+c.Boot] = s.clock.Now() - silence
+		s.heard[vm.ID+vm.Boot] = s.clock.Now() - silence
 	}
 	return !asked
 }
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -33,9 +33,11 @@
 type LendReply struct {
 	Decision lending.Decision
 	// Leads is false if the VM does not lead the cell; nothing was decided.
-	// Moved is then the record of the cell, if the VM knows one.
-	Leads bool
-	Moved []view.Change
+	// Moved is then the record of the cell, and Deputy the VM that acts for the
+	// leader that it names, if the VM knows them.
+	Leads  bool
+	Moved  []view.Change
+	Deputy *DeputyArgs
 }
 
 // ReturnArgs ends a loan.
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -15,7 +15,7 @@
 func (h *handler) Lend(a LendArgs, reply *LendReply) error {
 	l := h.s.leadNow(a.Service)
 	if l == nil {
-		reply.Moved = h.s.recordOf(a.Service)
+		h.s.tellLeader(a.Service, reply)
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(h.s.ctx, a.Deadline)
@@ -23,7 +23,7 @@
 	d, err := l.ask(ctx, a)
 	switch {
 	case errors.Is(err, errClosed):
-		reply.Moved = h.s.recordOf(a.Service)
+		h.s.tellLeader(a.Service, reply)
 		return nil
 	case err != nil:
 		d = lending.Decision{Reason: lending.Expired}
@@ -32,6 +32,16 @@
 	return nil
 }
 
+// tellLeader answers a VM that asked the wrong one for a slot.
+func (s *Service) tellLeader(service string, reply *LendReply) {
+	reply.Moved = s.recordOf(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if d, has := s.deputies[service]; has {
+		reply.Deputy = &DeputyArgs{Service: service, Change: d.change, VM: d.vm}
+	}
+}
+
 // recordOf returns the record of a cell as it is passed on, or nothing.
 func (s *Service) recordOf(service string) []view.Change {
 	c, err := s.view.Packed(view.System, view.CellKey(service))
@@ -63,7 +73,7 @@
 // handed to this VM a moment ago is begun.
 func (s *Service) leadNow(service string) *lead {
 	l := s.leadOf(service)
-	if c, _ := s.view.Cell(service); l == nil && c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot {
+	if c, _ := s.view.Cell(service); l == nil && c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot && !s.hasDeputy(service, c) {
 		s.look()
 		l = s.leadOf(service)
 	}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -71,6 +71,7 @@
 	offered  map[string]lending.Learned // by service: of a leader that may hand over
 	// followers is what this VM has promised about the leaders of other cells.
 	followers map[string]*support.Follower
+	deputies  map[string]deputy // by service
 }
 
 // Config assembles a Service.
@@ -94,7 +95,7 @@
 		solo:   metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leads:  map[string]*lead{}, solos: map[string]*desk{}, claiming: map[string]bool{},
 		heard: map[string]time.Duration{}, quietAt: map[string]time.Duration{}, cellSeen: map[string]*fleet.Cell{},
-		offered: map[string]lending.Learned{}, followers: map[string]*support.Follower{},
+		offered: map[string]lending.Learned{}, followers: map[string]*support.Follower{}, deputies: map[string]deputy{},
 	}
 	s.ctx, s.stopped = context.WithCancel(context.Background())
 	return s, c.Server.Register(RPCName, &handler{s})
@@ -158,10 +159,12 @@
 	busy := s.claiming[svc.Name]
 	s.mu.Unlock()
 	switch {
-	case leads && !mine:
+	case leads && !l.leads():
 		s.end(svc.Name, l, "another VM leads the cell")
+	case leads && l.ceded.Load() && s.hasDeputy(svc.Name, c):
+		s.end(svc.Name, l, "another VM acts for this one")
 	case leads || busy:
-	case mine:
+	case mine && !s.hasDeputy(svc.Name, c):
 		s.begin(svc.Name, s.inherit(svc, 0), number)
 	case !s.retiring.Load() && s.shouldClaim(svc.Name, c):
 		s.mu.Lock()
@@ -192,13 +195,32 @@
 	s.claims.Inc(1)
 }
 
+// hasDeputy tells whether another VM acts for the leader of a record.
+func (s *Service) hasDeputy(service string, c *fleet.Cell) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, has := s.deputies[service]
+	return has && c != nil && d.change == c.Change && d.vm.ID != s.self.ID
+}
+
 func (s *Service) begin(service string, m *keyspace.Manager, number int64) {
+	s.beginAs(service, m, number, nil)
+}
+
+// beginAs leads a cell, for the leader of a record if there is one. A lead of
+// this VM that acted for a leader until now ends.
+func (s *Service) beginAs(service string, m *keyspace.Manager, number int64, acts *fleet.Cell) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
 		return
 	}
 	l := s.newLead(service, m)
+	l.acts = acts
+	if before := s.leads[service]; before != nil {
+		before.cancel()
+		before.close()
+	}
 	if learned, ok := s.offered[service]; ok {
 		l.begin(learned)
 		delete(s.offered, service)
@@ -206,13 +228,15 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	l.cancel = cancel
 	s.leads[service] = l
-	s.logger.Info("leads a cell", "service", service, "number", number)
+	s.logger.Info("leads a cell", "service", service, "number", number, "acts", acts != nil)
 	go l.run(ctx)
 }
 
 func (s *Service) end(service string, l *lead, why string) {
 	s.mu.Lock()
-	delete(s.leads, service)
+	if s.leads[service] == l {
+		delete(s.leads, service)
+	}
 	s.mu.Unlock()
 	l.cancel()
 	<-l.done
@@ -223,16 +247,14 @@
 // shouldClaim tells whether a cell without a heard leader is this VM's to take.
 func (s *Service) shouldClaim(service string, c *fleet.Cell) bool {
 	now := s.clock.Now()
+	leader, _, known := s.acting(service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ended := false
-	if c != nil {
-		if now-s.heard[c.Leader+c.Boot] < silence {
-			delete(s.quietAt, service)
-			return false
-		}
-		ended = s.processEnded(c.Leader, c.Boot)
+	if known && now-s.heard[leader.ID+leader.Boot] < silence {
+		delete(s.quietAt, service)
+		return false
 	}
+	ended := c != nil && !known && s.processEnded(c.Leader, c.Boot)
 	if s.cellSeen[service] != c { // a new leader gets its time to be heard
 		s.cellSeen[service] = c
 		s.quietAt[service] = now
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -43,7 +43,9 @@
 
 // Release implements the call of the same name.
 func (h *handler) Release(a SupportArgs, reply *ReleaseReply) error {
-	if h.s.heardLately(a.Leader, a.Boot) {
+	leader, c, known := h.s.acting(a.Service)
+	same := known && c.Leader == a.Leader && c.Boot == a.Boot
+	if same && h.s.heardLately(leader.ID, leader.Boot) {
 		reply.Hears = true
 		return nil
 	}
@@ -105,7 +107,12 @@
 	if age := l.view.Staleness(view.System); age < supportAfter || age > support.MaxExtension {
 		return
 	}
-	asked, args := l.now(), SupportArgs{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot}
+	c, _ := l.view.Cell(l.service)
+	if c == nil || !l.leads() || l.ceded.Load() {
+		return
+	}
+	// A deputy asks in the name of the leader for which it acts.
+	asked, args := l.now(), SupportArgs{Service: l.service, Leader: c.Leader, Boot: c.Boot}
 	supporters := 0
 	askAll(ctx, l.s, l.s.others(""), "Support", args, func(vm fleet.VM, reply SupportReply) {
 		if reply.Supports {
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -85,12 +85,12 @@
 	}
 	leaders = map[string]bool{}
 	for _, svc := range cfg.Services {
-		c, _ := s.view.Cell(svc.Name)
-		if c == nil || !s.heardLately(c.Leader, c.Boot) {
+		vm, _, ok := s.acting(svc.Name)
+		if !ok || !s.heardLately(vm.ID, vm.Boot) {
 			missing = true
 		}
-		if c != nil {
-			leaders[c.Leader] = true
+		if ok {
+			leaders[vm.ID] = true
 		}
 	}
 	return leaders, missing
--- a/node/view/read.go
+++ b/node/view/read.go
@@ -116,6 +116,9 @@
 // record assigns have it as their fence.
 func Number(offset int64) int64 { return offset + 1 }
 
+// Offset returns the offset of the record with a number.
+func Offset(number int64) int64 { return number - 1 }
+
 // CellKey returns the key of a cell's record.
 func CellKey(service string) string { return "cell/" + service }
 
