Tell callers the true time at which a key is served again

Cause: Retry-After was cut at one second. Change: Retry-After is the expected wait up to 5 s, beyond the deadlines of all routes. Test: TestLostKeyTellsWhenItIsServedAgain, seen to fail first (1.3 s for a wait of 2.3 s).

--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -476,6 +476,19 @@
 	assert.NotEqual(t, "t0", take(next)[1].Target)
 }
 
+// The keys of a target that went dark have no owner for some seconds. Callers
+// are told that time, and not to come back before it for a second refusal.
+func TestLostKeyTellsWhenItIsServedAgain(t *testing.T) {
+	owner := func(time.Duration, int) Ownership { return Ownership{State: Lost, Wait: 2300 * ms} }
+	l := newLender(testConfig(), owner, pool(1)...)
+	r := request(1, 0)
+	r.Key = 5
+	l.Ask(0, r)
+	d := take(l)[1]
+	assert.Equal(t, NoOwner, d.Reason)
+	assert.GreaterOrEqual(t, d.RetryAfter, 2300*ms)
+}
+
 // The line that sums up a cell's lending must tell each decision once.
 func TestCountsTellEachDecisionOnce(t *testing.T) {
 	l := newLender(testConfig(), nil, pool(1)...)
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -20,9 +20,10 @@
 	maxRefusals = 4096
 	// minRetryAfter is the shortest wait that is asked of a caller.
 	minRetryAfter = 50 * time.Millisecond
-	// maxRetryAfter is the longest wait that helps a caller with the usual
-	// deadlines of one to four seconds.
-	maxRetryAfter = time.Second
+	// maxRetryAfter is the longest wait that is asked of a caller: beyond the
+	// deadlines of all routes, so that a caller that cannot be served in its time
+	// is not asked to come back for another refusal.
+	maxRetryAfter = 5 * time.Second
 	// retrySpread keeps callers that were refused together from returning together.
 	retrySpread = 0.5
 	// ownerWait is how long a request waits for an owner of its key: planned
