Trust idle connections for writes by what targets do

A VM meets a target every 12 s on average, and an idle connection was trusted with a write for 2 s only. Change: 8 s, halved to what two targets' resets show within two seconds, and doubled again every 3 s. One target that ends is not taken for forgetfulness.

--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -18,6 +18,7 @@
 	reader   *bufio.Reader
 	lastUsed time.Time
 	keepFor  time.Duration // longest idle time
+	idleFor  time.Duration // before the current request, 0 if it is the first
 	sent     bool          // some of the current request
 	broken   bool          // must not be used again
 	closed   atomic.Bool
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -30,10 +30,7 @@
 	// and idleMargin below the time that a target states itself.
 	idleKeep   = 9400 * time.Millisecond
 	idleMargin = 600 * time.Millisecond
-	// writeIdleKeep is how long an idle connection is trusted with a request
-	// that may run only once: a target may have forgotten it.
-	writeIdleKeep = 2 * time.Second
-	maxIdle       = 3 // connections kept a target: the slots of the targets
+	maxIdle    = 3 // connections kept a target: the slots of the targets
 	// silentMemory is longer than any request is under way.
 	silentMemory = 5 * time.Minute
 	// tendPause bounds how much longer an unused connection stays open.
@@ -94,6 +91,7 @@
 	dialer  net.Dialer
 	opened  metrics.Counter
 	foreign metrics.Counter
+	trust   idleTrust
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, last used last
@@ -135,6 +133,8 @@
 		if ctx.Err() != nil {
 			err = errors.Wrap(context.Cause(ctx), err.Error())
 			c.distrust(r.Address)
+		} else if cn.idleFor > 0 {
+			c.trust.reset(time.Now(), r.Address, cn.idleFor)
 		}
 		return nil, &Error{Step: "exchange", Target: r.Target, Address: r.Address, Sent: cn.sent, Err: err}
 	}
@@ -164,9 +164,10 @@
 		if cn == nil {
 			break
 		}
-		age := time.Since(cn.lastUsed)
-		if age < cn.keepFor && (!r.Once || age < writeIdleKeep) && cn.quiet() {
-			cn.sent = false
+		now := time.Now()
+		age := now.Sub(cn.lastUsed)
+		if age < cn.keepFor && (!r.Once || age < c.trust.now(now)) && cn.quiet() {
+			cn.sent, cn.idleFor = false, age
 			return cn, nil
 		}
 		cn.Close()
