Take the retry budget from the platform's settings

Change: a leader has half of the burst and 0.8 of the share, a VM alone one repeat and a quarter of the share.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -111,7 +111,7 @@
 		"nodeName": v.name, "ip": v.ip, "zone": f.zone(i), "internalPorts": []int{7200, 7215},
 		"listen":   map[string]string{"front": v.ip + ":8081", "readinessAddress": v.ip + ":8088"},
 		"limits":   map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": 256},
-		"bounds":   []string{fmt.Sprintf("graceS=%g", grace.Seconds())},
+		"bounds":   []string{fmt.Sprintf("graceS=%g", grace.Seconds()), "retryBudgetRatio=0.2", "budgetBurst=56"},
 		"platform": map[string]any{"address": f.toStore.Addr()},
 	})
 	require.NoError(f.t, err)
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -224,21 +224,25 @@
 	d.lender.SetTargets(now, infos)
 }
 
-// soloConfig limits a VM that lends to itself because it reaches no leader:
-// all VMs together then stay within the slots and queue of a target.
-func soloConfig() lending.Config {
-	return lending.Config{SlotsPerTarget: 1, Budget: retry.BudgetConfig{Share: soloRetryShare, Burst: soloRetryBurst}}
-}
+// RetryLimits bound the requests that are sent again to a service, by all VMs
+// together: a share of its requests and a number that may be saved up.
+type RetryLimits struct{ Share, Burst float64 }
 
+// Parts of the limits. A VM without a leader has a small one of its own: 76 of
+// them at once must not use up more than the leader leaves.
 const (
-	// retryShare and retryBurst keep below the retry budget of the sites, 0.2
-	// and 56 in 10 s, so that repeats of VMs without a leader have room.
-	retryShare     = 0.16
-	retryBurst     = 30
-	soloRetryShare = 0.05
-	soloRetryBurst = 2
+	leaderRetryShare = 0.8
+	leaderRetryBurst = 0.5
+	soloRetryShare   = 0.25
+	soloRetryBurst   = 1.0 // requests
 )
 
-func leaderConfig() lending.Config {
-	return lending.Config{Budget: retry.BudgetConfig{Share: retryShare, Burst: retryBurst}}
+// soloConfig limits a VM that lends to itself because it reaches no leader:
+// all VMs together then stay within the slots and queue of a target.
+func (r RetryLimits) soloConfig() lending.Config {
+	return lending.Config{SlotsPerTarget: 1, Budget: retry.BudgetConfig{Share: soloRetryShare * r.Share, Burst: soloRetryBurst}}
+}
+
+func (r RetryLimits) leaderConfig() lending.Config {
+	return lending.Config{Budget: retry.BudgetConfig{Share: leaderRetryShare * r.Share, Burst: leaderRetryBurst * r.Burst}}
 }
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -84,7 +84,7 @@
 }
 
 func (s *Service) newLead(service string, m *keyspace.Manager) *lead {
-	l := &lead{desk: newDesk(s, service, leaderConfig()), s: s, done: make(chan struct{})}
+	l := &lead{desk: newDesk(s, service, s.retry.leaderConfig()), s: s, done: make(chan struct{})}
 	l.keys = m
 	if m != nil {
 		l.load = keyspace.NewLoad(l.now())
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -142,7 +142,7 @@
 	s.mu.Lock()
 	d := s.solos[a.Service]
 	if d == nil {
-		d = newDesk(s, a.Service, soloConfig())
+		d = newDesk(s, a.Service, s.retry.soloConfig())
 		d.coldShare = 1 / float64(max(1, len(s.view.VMs())))
 		s.solos[a.Service] = d
 	}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -50,6 +50,7 @@
 	orders  Orders
 	clock   *clock.Clock
 	peers   *peer.Client
+	retry   RetryLimits
 	logger  hclog.Logger
 	lastID  atomic.Uint64
 	claims  metrics.Counter
@@ -83,6 +84,7 @@
 	Clock    *clock.Clock
 	Peers    *peer.Client
 	Server   *peer.Server
+	Retry    RetryLimits
 	Logger   hclog.Logger
 	Registry metrics.Registry
 }
@@ -90,7 +92,7 @@
 // New returns a service and registers its calls.
 func New(c Config) (*Service, error) {
 	s := &Service{
-		self: c.Self, view: c.View, store: c.Store, orders: c.Orders, clock: c.Clock, peers: c.Peers, logger: c.Logger,
+		self: c.Self, view: c.View, store: c.Store, orders: c.Orders, clock: c.Clock, peers: c.Peers, retry: c.Retry, logger: c.Logger,
 		claims: metrics.GetOrRegisterCounter("cell.claims", c.Registry),
 		solo:   metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leads:  map[string]*lead{}, solos: map[string]*desk{}, claiming: map[string]bool{},
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -38,6 +38,7 @@
 	Metrics    string  // address of the figures, or ""
 	PeerKey    []byte
 	Drain      gateway.Drain
+	Retry      cell.RetryLimits
 }
 
 // Adapter connects a router to the platform that it runs on.
@@ -80,7 +81,7 @@
 	client.LocalAddr, client.Options = local, peer.Options{Connections: 1, NoPings: true}
 	cells, err := cell.New(cell.Config{
 		Self: self, View: v, Store: store, Orders: a.Orders(r.targets(local)), Clock: c, Peers: client, Server: server,
-		Logger: r.logger.Named("cell"), Registry: r.registry,
+		Retry: s.Retry, Logger: r.logger.Named("cell"), Registry: r.registry,
 	})
 	if err != nil {
 		return err
