Ask whether another VM reaches the store before a cell is handed over

Each refused, but for all that the leader knew one had written a record, and its own record could not be written: no keys were granted from 20 s to 30 s.

Change: a leader first asks which VM reads the store (Reach), and keeps the cell if none does. A VM that refuses a cell before it writes says so, and the leader goes on without a record of its own.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -33,8 +33,19 @@
 	Learned lending.Learned
 }
 
-// TakeReply is its answer: the record that names the new leader, or none.
-type TakeReply struct{ Record []view.Change }
+// TakeReply is its answer.
+type TakeReply struct {
+	// Record names the new leader.
+	Record []view.Change
+	// Refused is why the VM has written no record and won't, empty if it may have.
+	Refused string
+}
+
+// ReachArgs asks a VM whether it could lead cells now.
+type ReachArgs struct{}
+
+// ReachReply is its answer.
+type ReachReply struct{ Reaches bool }
 
 // Retire hands all cells that this VM leads to others, and keeps it from
 // leading any more. It is called when the VM is about to stop.
@@ -47,15 +58,15 @@
 	s.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, l := range leads {
-		wg.Go(func() { s.handOver(ctx, l, "the VM stops") })
+		wg.Go(func() { s.handOver(ctx, l, s.candidates(l.service), "the VM stops") })
 	}
 	wg.Wait()
 }
 
-// handOver asks other VMs to lead a cell until one does. From the first
-// question on this VM grants no keys any more: an answer may be lost, and the
-// new leader counts on it.
-func (s *Service) handOver(ctx context.Context, l *lead, why string) {
+// handOver asks VMs to lead a cell until one does. From the first question on
+// this VM grants no keys any more: an answer may be lost, and the new leader
+// counts on it.
+func (s *Service) handOver(ctx context.Context, l *lead, candidates []fleet.VM, why string) {
 	c, _ := s.view.Cell(l.service)
 	if c == nil || !l.leads() || !l.ceded.CompareAndSwap(false, true) {
 		return
@@ -63,7 +74,8 @@
 	l.mu.Lock()
 	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned()}
 	l.mu.Unlock()
-	for _, vm := range s.candidates(l.service) {
+	refused := true
+	for _, vm := range candidates {
 		var reply TakeReply
 		err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Take", args, &reply)
 		if err == nil && len(reply.Record) > 0 {
@@ -73,14 +85,32 @@
 			s.logger.Info("handed a cell over", "service", l.service, "to", vm.ID, "why", why)
 			return
 		}
-		s.logger.Info("a VM does not take a cell", "service", l.service, "vm", vm.ID, "error", err)
+		refused = refused && err == nil && reply.Refused != ""
+		s.logger.Info("a VM does not take a cell", "service", l.service, "vm", vm.ID, "refused", reply.Refused, "error", err)
 	}
 	if s.retiring.Load() && s.appoint(ctx, l) {
 		return
 	}
+	if refused {
+		l.ceded.Store(false) // nobody has written or will write a record
+		return
+	}
 	l.reclaim(ctx)
 }
 
+// reaching returns the first candidate that reaches the store, or none.
+func (s *Service) reaching(ctx context.Context, candidates []fleet.VM) []fleet.VM {
+	for _, vm := range candidates {
+		var reply ReachReply
+		if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Reach", ReachArgs{}, &reply); err != nil {
+			s.logger.Info("a VM does not tell whether it reaches the store", "vm", vm.ID, "error", err)
+		} else if reply.Reaches {
+			return []fleet.VM{vm}
+		}
+	}
+	return nil
+}
+
 // candidates returns the VMs that are asked to lead a service, in the order in
 // which they would replace a leader.
 func (s *Service) candidates(service string) []fleet.VM {
@@ -142,21 +172,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	l.s.handOver(ctx, l, "the store turns the VM away")
+	candidates := l.s.reaching(ctx, l.s.candidates(l.service))
+	if len(candidates) == 0 {
+		l.logger.Info("keeps a cell: no VM that was asked reaches the store", "service", l.service)
+		return
+	}
+	l.s.handOver(ctx, l, candidates, "the store turns the VM away")
+}
+
+// Reach implements the call of the same name.
+func (h *handler) Reach(_ ReachArgs, reply *ReachReply) error {
+	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
+	defer cancel()
+	err := h.s.readSystem(ctx)
+	reply.Reaches = err == nil && !h.s.retiring.Load()
+	if err != nil {
+		h.s.logger.Info("asked by a leader: the store is not reached", "error", err)
+	}
+	return nil
 }
 
 // Take implements the call of the same name.
 func (h *handler) Take(a TakeArgs, reply *TakeReply) error {
-	cfg, _ := h.s.view.Config()
-	if h.s.retiring.Load() || cfg == nil || !h.s.view.Ready() {
-		return errors.New("the VM leads no more cells now")
-	}
-	svc, ok := cfg.Service(a.Service)
-	if !ok {
-		return errors.Errorf("the configuration has no service %q", a.Service)
-	}
 	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
 	defer cancel()
+	free, svc, err := h.s.prepareTake(ctx, a)
+	if err != nil {
+		reply.Refused = err.Error()
+		return nil
+	}
+	defer free()
 	if err := h.s.take(ctx, svc, a); err != nil {
 		return err
 	}
@@ -164,23 +209,35 @@
 	return nil
 }
 
-// take makes this VM the leader of a cell whose leader has asked it to.
-func (s *Service) take(ctx context.Context, svc fleet.Service, a TakeArgs) error {
+// prepareTake checks whether this VM can lead a cell, and keeps other claims of
+// it off until free is called. After an error no record is written.
+func (s *Service) prepareTake(ctx context.Context, a TakeArgs) (free func(), svc fleet.Service, err error) {
+	cfg, _ := s.view.Config()
+	if s.retiring.Load() || cfg == nil || !s.view.Ready() {
+		return nil, svc, errors.New("the VM leads no more cells now")
+	}
+	svc, ok := cfg.Service(a.Service)
+	if !ok {
+		return nil, svc, errors.Errorf("the configuration has no service %q", a.Service)
+	}
+	if err := s.readSystem(ctx); err != nil {
+		return nil, svc, errors.Wrap(err, "read the system's log before taking a cell")
+	}
 	s.mu.Lock()
-	busy := s.claiming[svc.Name]
-	s.claiming[svc.Name] = true
-	s.mu.Unlock()
-	if busy {
-		return errors.New("the VM claims the cell already")
+	defer s.mu.Unlock()
+	if s.claiming[svc.Name] {
+		return nil, svc, errors.New("the VM claims the cell already")
 	}
-	defer func() {
+	s.claiming[svc.Name] = true
+	return func() {
 		s.mu.Lock()
 		delete(s.claiming, svc.Name)
 		s.mu.Unlock()
-	}()
-	if err := s.readSystem(ctx); err != nil {
-		return errors.Wrap(err, "read the system's log before taking a cell")
-	}
+	}, svc, nil
+}
+
+// take makes this VM the leader of a cell whose leader has asked it to.
+func (s *Service) take(ctx context.Context, svc fleet.Service, a TakeArgs) error {
 	c, _ := s.view.Cell(svc.Name)
 	if c == nil || c.Change != a.Change {
 		return errDeposed
--- a/node/cell/handover_test.go
+++ b/node/cell/handover_test.go
@@ -127,14 +127,54 @@
 	own.away.Store(true)
 	time.Sleep(unwrittenAfter)
 	require.NotNil(t, old.leadOf("s"), "nothing has to be written")
-	lost := []view.Change{{Log: view.Targets, Key: "t", Offset: 5}, {Log: view.Targets, Key: "u", Offset: 6,
-		Target: &fleet.Target{ID: "u", Service: "s", Address: "127.0.0.1:2", DataCentre: "z", Slots: 3}}}
-	for _, vm := range append(others, old) {
-		vm.view.Apply(view.Targets, lost, 7, vm.clock.Now())
-	}
+	replaceTarget(append(others, old))
 	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 2*unwrittenAfter+time.Second, 5*time.Millisecond)
 	require.Eventually(t, func() bool {
 		c, _ := others[0].view.Cell("s")
 		return len(c.Keys) > 0 && c.Keys[0].Owner.Target == "u"
 	}, 2*time.Second, 5*time.Millisecond)
 }
+
+// replaceTarget tells VMs that the only target is gone and that there is
+// another one: its keys have to move.
+func replaceTarget(vms []*testVM) {
+	changes := []view.Change{{Log: view.Targets, Key: "t", Offset: 5}, {Log: view.Targets, Key: "u", Offset: 6,
+		Target: &fleet.Target{ID: "u", Service: "s", Address: "127.0.0.1:2", DataCentre: "z", Slots: 3}}}
+	for _, vm := range vms {
+		vm.view.Apply(view.Targets, changes, 7, vm.clock.Now())
+	}
+}
+
+// The store turns all VMs away while assignments wait for it. No VM can take
+// the cell, so that its leader goes on granting keys. Seen on a day on which the
+// leader asked all others in the first second of an outage: each may have taken
+// the cell for all that it knew, and keys had no owner until the outage ended.
+func TestLeaderGoesOnWhenNoVMReachesTheStore(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	l := leader.leadOf("s")
+	store.setDown(true)
+	replaceTarget(append(others, leader))
+	for end := time.Now().Add(unwrittenAfter + passOnPause + handoverTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		require.NoError(t, l.mayGrant())
+	}
+}
+
+// A VM that refuses a cell has written no record, so that its leader goes on
+// without one. Those that did not answer may have.
+func TestLeaderGoesOnWhenItsCellIsRefused(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	l := leader.leadOf("s")
+	for _, vm := range others {
+		vm.retiring.Store(true)
+	}
+	store.setDown(true)
+	leader.handOver(context.Background(), l, leader.candidates("s"), "a test")
+	require.NoError(t, l.mayGrant())
+	others[0].cut()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	leader.handOver(ctx, l, leader.candidates("s"), "a test")
+	require.Error(t, l.mayGrant())
+}
