--- a/standin/model/model.go
+++ b/standin/model/model.go
@@ -74,6 +74,24 @@
 	coldRate   = 5.0
 )
 
+// The figures of a leader.
+var (
+	keyConfig = keyspace.Config{Hold: 1800 * time.Millisecond, Renew: 500 * time.Millisecond, CallTimeout: 500 * time.Millisecond,
+		ClockError: 0.02, MaxParts: 8}
+	budget = retry.BudgetConfig{Share: 0.16, Burst: 30}
+)
+
+// outcome is how a request ended for its caller.
+type outcome int
+
+const (
+	inAim outcome = iota
+	late
+	refused
+	lost
+	outcomes
+)
+
 type target struct {
 	info    lending.TargetInfo
 	speed   float64
@@ -106,7 +124,7 @@
 	fence    int64
 	waits    []time.Duration
 	result   Result
-	ended    [4]int // in aim, late, refused, lost
+	ended    [outcomes]int
 	busy     float64
 }
 
@@ -114,11 +132,10 @@
 func Run(c Config) Result {
 	m := &model{Config: c, rng: rand.New(rand.NewSource(c.Seed)), targets: map[string]*target{}, asked: map[uint64]*request{}, fence: 1}
 	if c.Keyed {
-		m.keys = keyspace.New(keyspace.Config{Hold: 2200 * time.Millisecond, Renew: 600 * time.Millisecond, CallTimeout: 700 * time.Millisecond,
-			ClockError: 0.02, MaxParts: 8}, nil, 0)
+		m.keys = keyspace.New(keyConfig, nil, 0)
 		m.load = keyspace.NewLoad(0)
 	}
-	m.lender = lending.New(lending.Config{Budget: retry.BudgetConfig{Share: 0.16, Burst: 30}}, m.rng, m.ownerOf)
+	m.lender = lending.New(lending.Config{Budget: budget}, m.rng, m.ownerOf)
 	m.addTargets()
 	for m.now = 0; m.now < c.Warm+c.Length; m.now += step {
 		m.step()
@@ -138,7 +155,9 @@
 	m.lender.SetTargets(0, infos)
 }
 
-func id(i int) string { return string([]byte{'t', byte('a' + i/676), byte('a' + i/26%26), byte('a' + i%26)}) }
+func id(i int) string {
+	return string([]byte{'t', byte('a' + i/676), byte('a' + i/26%26), byte('a' + i%26)})
+}
 
 func (m *model) ownerOf(now time.Duration, key int) lending.Ownership {
 	if m.keys == nil {
@@ -196,15 +215,15 @@
 	took := m.now + 2*hop - r.arrived
 	switch {
 	case !answered:
-		m.count(r, 3)
+		m.count(r, lost)
 	case took <= m.Objective:
-		m.count(r, 0)
+		m.count(r, inAim)
 	default:
-		m.count(r, 1)
+		m.count(r, late)
 	}
 }
 
-func (m *model) count(r *request, how int) {
+func (m *model) count(r *request, how outcome) {
 	if r.arrived >= m.Warm {
 		m.ended[how]++
 	}
@@ -305,7 +324,7 @@
 		r := m.asked[d.ID]
 		delete(m.asked, d.ID)
 		if !d.Lent {
-			m.count(r, 2)
+			m.count(r, refused)
 			continue
 		}
 		t := m.targets[d.Target]
@@ -323,7 +342,8 @@
 		r.Requests += n
 	}
 	n := float64(max(1, r.Requests))
-	r.InAim, r.Late, r.Refused, r.Lost = float64(m.ended[0])/n, float64(m.ended[1])/n, float64(m.ended[2])/n, float64(m.ended[3])/n
+	share := func(o outcome) float64 { return float64(m.ended[o]) / n }
+	r.InAim, r.Late, r.Refused, r.Lost = share(inAim), share(late), share(refused), share(lost)
 	slices.Sort(m.waits)
 	at := func(q float64) time.Duration {
 		if len(m.waits) == 0 {
