A leader that got no answer regains its cell when the store is back

A leader whose assignments waited asked another VM to lead; the answer did not come in 1.5 s, nor did the store take a record of its own in the rest of that time, and it never tried again: keys had no owner from 21.5 s to 31.7 s. The question whether a VM reaches the store took a part of the time.

Change: the leader's own record is written however long the store takes, and the leader begins anew from it, since what was proposed for the record before is void. The question whether another VM reaches the store may take 0.3 s: a store that is slow for all is no reason to hand a cell over. A deputy hands nothing over.

Test: TestLeaderWithoutAnswerRegainsItsCell, seen to fail first.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -17,6 +17,10 @@
 	// handoverTimeout bounds a change of leader that the old one asks for.
 	// Without one the cell gets a leader as after a loss.
 	handoverTimeout = 1500 * time.Millisecond
+	// reachTimeout bounds a question whether a VM reaches the store. It has to be
+	// far below unwrittenAfter: a store that is slow for all is no reason to hand
+	// a cell over.
+	reachTimeout = 300 * time.Millisecond
 	// candidatesAsked is how many VMs are asked one after the other.
 	candidatesAsked = 4
 	// unwrittenAfter is how long assignments wait for a store that other VMs
@@ -95,11 +99,17 @@
 		l.ceded.Store(false) // nobody has written or will write a record
 		return
 	}
-	l.reclaim(ctx)
+	if s.retiring.Load() {
+		l.reclaim(ctx, c)
+		return
+	}
+	go l.reclaim(s.ctx, c)
 }
 
 // reaching returns the first candidate that reaches the store, or none.
 func (s *Service) reaching(ctx context.Context, candidates []fleet.VM) []fleet.VM {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
 	for _, vm := range candidates {
 		var reply ReachReply
 		if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Reach", ReachArgs{}, &reply); err != nil {
@@ -126,17 +136,42 @@
 }
 
 // reclaim lets a leader that found no successor go on. One of the VMs that were
-// asked may still write its record, so that this VM writes a new one first.
-func (l *lead) reclaim(ctx context.Context) {
-	c, _ := l.view.Cell(l.service)
-	if c == nil || !l.leads() {
+// asked to replace the record may still write its own, so that this VM writes a
+// new one first, however long the store takes.
+func (l *lead) reclaim(ctx context.Context, record *fleet.Cell) {
+	if !l.leads() || l.acts != nil {
 		return
 	}
-	if _, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys}); err != nil {
-		l.logger.Warn("grants no keys until another VM leads: it was asked to and may do so yet", "error", err)
+	if c, _ := l.view.Cell(l.service); c.Change == record.Change {
+		l.logger.Warn("grants no keys until a record is written: another VM was asked to lead and may do so yet")
+		number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys})
+		if err == nil {
+			l.s.regain(l, number)
+			return
+		}
+		l.logger.Warn("the record was not written", "error", err)
+	}
+	// Assignments that had waited for the store may be the newest record.
+	if c, _ := l.view.Cell(l.service); l.leads() && c.Change != record.Change {
+		l.ceded.Store(false)
+	}
+}
+
+// regain leads a cell by a record that has replaced the one before. What was
+// proposed for that is void.
+func (s *Service) regain(l *lead, number int64) {
+	cfg, _ := s.view.Config()
+	svc, ok := cfg.Service(l.service)
+	if !ok {
 		return
 	}
-	l.ceded.Store(false)
+	l.mu.Lock()
+	learned := l.lender.Learned()
+	l.mu.Unlock()
+	s.mu.Lock()
+	s.offered[l.service] = learned
+	s.mu.Unlock()
+	s.begin(l.service, s.inherit(svc, 0), number)
 }
 
 // StoreFails hands all cells to VMs that reach the store, if there are some:
@@ -167,7 +202,7 @@
 		l.passedAt = now
 	}
 	l.mu.Unlock()
-	if tried || !l.leads() || l.view.Staleness(view.System) > supportAfter {
+	if tried || l.acts != nil || !l.leads() || l.view.Staleness(view.System) > supportAfter {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
--- a/node/cell/handover_test.go
+++ b/node/cell/handover_test.go
@@ -178,3 +178,29 @@
 	leader.handOver(ctx, l, leader.candidates("s"), "a test")
 	require.Error(t, l.mayGrant())
 }
+
+// The store is too slow for the VM that was asked to lead, so that its answer
+// does not come. The old leader goes on as soon as the store has its record.
+// Seen on a day on which the store was slow for 4 s and keys had no owner until
+// all VMs were stopped 10 s later.
+func TestLeaderWithoutAnswerRegainsItsCell(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	store.setDown(true)
+	replaceTarget(append(others, leader))
+	others[0].cut()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	l := leader.leadOf("s")
+	leader.handOver(ctx, l, leader.candidates("s"), "a test")
+	require.Error(t, l.mayGrant())
+	store.setDown(false)
+	require.Eventually(t, func() bool {
+		l := leader.leadOf("s")
+		return l != nil && l.mayGrant() == nil
+	}, silence, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		c, _ := leader.view.Cell("s")
+		return len(c.Keys) > 0 && c.Keys[0].Owner.Target == "u"
+	}, 3*time.Second, 10*time.Millisecond, "what was proposed is proposed again")
+}
