Leave it to the dispatcher to send a read again

All three reads in flight at the old process so reached the new one at once, before the dispatcher had seen a new boot id and set it to one slot. Ruled out: the order of observe and finish after a failed attempt; it holds a slot until the target was asked. Change: a request that was written on one connection is not written on another one by net/http, reads too; the dispatcher asks the target for its boot id first and sends the read again within the retry budget. Test: TestReadIsNotSentAgainUnasked (node/targets) failed before: the read was answered by the second process.

--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -212,8 +212,9 @@
 }
 
 // use begins the request on a connection. net/http moves a request without a
-// body to another connection by itself when the first one ends; a write must
-// not be sent again that way.
+// body to another connection by itself when the first one ends. That must not
+// send it again: a write may have run, and the target of a read may be a new
+// process by then, which the dispatcher has to find out first.
 func (a *attempt) use(info httptrace.GotConnInfo, r Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -221,7 +222,7 @@
 	a.conn, _ = info.Conn.(*gatedConn)
 	a.reused = info.Reused
 	gate := r.Gate
-	if a.sent && !r.Read {
+	if a.sent {
 		gate = func() error { return errSentBefore }
 	}
 	if a.conn != nil {
@@ -229,7 +230,7 @@
 	}
 }
 
-var errSentBefore = errors.New("the write was sent on another connection")
+var errSentBefore = errors.New("the request was sent on another connection")
 
 func (a *attempt) written() (written, reused bool) {
 	a.mu.Lock()
--- a/node/targets/client_test.go
+++ b/node/targets/client_test.go
@@ -164,6 +164,36 @@
 	}
 }
 
+// Guards against reads that net/http sends again by itself when their connections
+// end with the target's process: a target that has just started again would get
+// as many at once as the process before it could bear.
+func TestReadIsNotSentAgainUnasked(t *testing.T) {
+	var restarted atomic.Int64
+	address := rawTarget(t, func(n int, conn net.Conn, req *http.Request) {
+		switch n {
+		case 1:
+			reply(conn, req.Header.Get(HeaderRequestID), "ok")
+		case 2:
+			conn.Close() // the process ends with the request
+		default:
+			restarted.Add(1)
+			reply(conn, req.Header.Get(HeaderRequestID), "ok")
+		}
+	})
+	c := New(nil, metrics.NewRegistry())
+	read := func(id string) error {
+		r := newRequest(address, id)
+		r.Method, r.Body, r.Read = http.MethodGet, nil, true
+		_, err := c.Do(t.Context(), r)
+		return err
+	}
+	require.NoError(t, read("1"))
+	send := requireSendError(t, read("2"))
+	require.True(t, send.Written, "the ended process had the request")
+	require.Zero(t, restarted.Load(), "the caller decides whether to send again")
+	require.NoError(t, read("3"))
+}
+
 // Guards against a write that is sent although this VM may no longer send, and
 // against one that is called unsent although it was sent.
 func TestGateIsAskedBeforeTheFirstByte(t *testing.T) {
