After all VMs were lost, let requests wait for the next leader

Until then each VM lent to itself by the last record. The grants had lapsed, so that targets turned 533 of the logged requests away, and 431 were refused for want of retry budget with a Retry-After of 50 ms, too early. VMs learned of the new leader from exchanges 0.1 to 0.3 s after its record. Waiting requests ask the new leader as soon as it is heard; it tells all VMs its record. A VM's record is looked up directly: each request for a slot sorted all VMs before.

--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -228,3 +228,33 @@
 	assert.True(t, slot.Lent, "%s", slot.Reason)
 	assert.Equal(t, other.self.ID, slot.By)
 }
+
+// The cell's leader is lost together with its grants. Requests that wait at a
+// VM's own desk must be served by the next leader, not wait out their time.
+func TestWaitingRequestsAskTheNextLeader(t *testing.T) {
+	store := &memoryStore{}
+	first := startVM(t, "a", store)
+	require.Eventually(t, func() bool { return first.leadOf("s") != nil }, 5*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { // its keys are granted
+		slot, err := first.Lend(context.Background(), testLend(first))
+		first.Return(slot, lending.Usage{Result: lending.Answered, Took: time.Millisecond})
+		return err == nil && slot.Lent
+	}, 5*time.Second, 10*time.Millisecond)
+	// The first VM ends without a word and is registered anew at once, so that
+	// the second one sees that its process has ended and that it is itself new.
+	first.stop()
+	again := fleet.VM{ID: "a", PeerAddress: "127.0.0.1:1", Boot: "later", Cores: 1}
+	_, err := store.Append(context.Background(), view.Change{Key: view.VMKey("a"), VM: &again}, view.Anywhere)
+	require.NoError(t, err)
+	vms := []*testVM{startVM(t, "b", store), startVM(t, "c", store)}
+	for _, vm := range vms {
+		require.Eventually(t, vm.view.Ready, time.Second, time.Millisecond)
+		a := testLend(vm)
+		a.Objective, a.Deadline = 1500*time.Millisecond, 3*time.Second
+		slot, err := vm.Lend(context.Background(), a)
+		require.NoError(t, err)
+		assert.True(t, slot.Lent, "refused: %s", slot.Reason)
+		led := slot.leader != "" || slot.desk != nil && slot.desk.keys != nil
+		assert.True(t, led, "lent by the leader")
+	}
+}
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -123,9 +123,9 @@
 	return out
 }
 
-// processEnded tells whether a VM's process is known to have ended: the VM has
-// registered with a later one, or not at all.
-func (s *Service) processEnded(id, boot string) bool {
-	vm, known := s.view.VM(id)
-	return !known || vm.Boot != boot
+// processEnded tells whether the process of a record's leader is known to have
+// ended: the VM has registered with a later one, or not at all.
+func processEnded(v *view.View, c *fleet.Cell) bool {
+	vm, known := v.VM(c.Leader)
+	return !known || vm.Boot != c.Boot
 }
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/retry"
@@ -30,10 +31,12 @@
 	lender  *lending.Lender
 	waiters map[uint64]chan lending.Decision
 	keys    *keyspace.Manager // nil if the service has no keys or the desk does not lead
+	unled   *lending.Unled    // of a desk that does not lead
 	load    *keyspace.Load
 	seen    uint64 // version of the view that the targets were taken from
 	lastID  *atomic.Uint64
 	wake    chan struct{}
+	recall  chan struct{} // closed when those that wait are to ask elsewhere
 	closed  chan struct{} // closed when the desk decides no more
 	closing sync.Once
 }
@@ -46,7 +49,7 @@
 		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
 		logger:  s.logger.With("service", service),
 		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
-		closed: make(chan struct{}),
+		recall: make(chan struct{}), closed: make(chan struct{}), unled: lending.NewUnled(s.started, hold),
 	}
 	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
 	return d
@@ -65,14 +68,15 @@
 	}
 	// A desk that does not lead goes by the last record of the cell; a target
 	// that no longer holds the key says so and does not run the request.
-	if owner := recordedOwner(d.view, d.service, key); owner != "" {
-		return lending.Ownership{Target: owner, State: lending.Held}
+	c, _ := d.view.Cell(d.service)
+	owner := recordedOwner(c, key)
+	if owner == "" {
+		return lending.Ownership{State: lending.Lost, Wait: hold}
 	}
-	return lending.Ownership{State: lending.Lost, Wait: hold}
+	return d.unled.Owner(now, owner, processEnded(d.view, c))
 }
 
-func recordedOwner(v *view.View, service string, key int) string {
-	c, _ := v.Cell(service)
+func recordedOwner(c *fleet.Cell, key int) string {
 	if c == nil {
 		return ""
 	}
@@ -102,7 +106,7 @@
 		Key: a.Key, Repeat: a.Repeat, Avoid: a.Avoid, Print: a.Print,
 	})
 	d.deliver()
-	waits := d.lender.Waiting() > 0
+	waits, recall := d.lender.Waiting() > 0, d.recall
 	d.mu.Unlock()
 	if waits {
 		select {
@@ -114,6 +118,9 @@
 	case dec := <-decided:
 		d.logDecision(a, dec)
 		return dec, nil
+	case <-recall:
+		go d.returnUnused(decided)
+		return lending.Decision{}, errClosed
 	case <-d.closed:
 		go d.returnUnused(decided)
 		return lending.Decision{}, errClosed
@@ -126,6 +133,17 @@
 // close ends the wait of all requests.
 func (d *desk) close() { d.closing.Do(func() { close(d.closed) }) }
 
+// sendOn ends the wait of all requests, which ask a leader then. The desk goes on
+// to count what it has lent.
+func (d *desk) sendOn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lender.Waiting() > 0 {
+		close(d.recall)
+		d.recall = make(chan struct{})
+	}
+}
+
 // begin takes what another leader has learned.
 func (d *desk) begin(learned lending.Learned) {
 	d.mu.Lock()
@@ -183,13 +201,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	if key, target, ok := d.lender.Loan(u.ID); ok && u.Result == lending.WrongOwner && d.keys != nil {
-		d.keys.WrongOwner(now, key, target)
+	if key, target, ok := d.lender.Loan(u.ID); ok && u.Result == lending.WrongOwner {
+		d.noteWrongOwner(now, key, target)
 	}
 	d.lender.Return(now, u)
 	d.deliver()
 }
 
+// noteWrongOwner takes note of a target that does not hold a key that it was
+// believed to hold. It is called with mu held.
+func (d *desk) noteWrongOwner(now time.Duration, key int, target string) {
+	if d.keys != nil {
+		d.keys.WrongOwner(now, key, target)
+		return
+	}
+	d.unled.WrongOwner(now, target)
+}
+
 // tick advances the lender.
 func (d *desk) tick() time.Duration {
 	d.mu.Lock()
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -28,27 +28,32 @@
 // Lend asks for a slot: the leader if it is heard, otherwise this VM's own
 // small share. The error is that of ctx.
 func (s *Service) Lend(ctx context.Context, a LendArgs) (Slot, error) {
+	began := s.clock.Now()
 	for range leadersAsked {
+		now := a.after(s.clock.Now() - began)
 		if l := s.leadNow(a.Service); l != nil {
-			d, err := l.ask(ctx, a)
+			d, err := l.ask(ctx, now)
 			if !errors.Is(err, errClosed) {
 				return Slot{Decision: d, service: a.Service, desk: l.desk, By: s.self.ID}, err
 			}
 		}
-		slot, answer := s.lendRemote(ctx, a)
+		slot, answer := s.lendRemote(ctx, now)
 		switch {
 		case answer == decided || ctx.Err() != nil:
 			return slot, ctx.Err()
 		case answer == noLeader:
-			return s.lendAlone(ctx, a)
+			if slot, err := s.lendAlone(ctx, now); !errors.Is(err, errClosed) {
+				return slot, err
+			}
 		}
 	}
-	return s.lendAlone(ctx, a)
+	return Slot{Decision: lending.Decision{Reason: lending.NotStarted, RetryAfter: silence}}, nil
 }
 
 // leadersAsked is how many leaders are asked for one slot: each but the first
-// when the one before has handed its cell over.
-const leadersAsked = 3
+// when the one before has handed its cell over, or when the cell has got a
+// leader while the request waited at this VM's own desk.
+const leadersAsked = 4
 
 // leaderAnswer is how a call to a leader ended.
 type leaderAnswer uint8
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -29,6 +29,15 @@
 	Print      quarantine.Fingerprint
 }
 
+// after returns the same request some time later.
+func (a LendArgs) after(waited time.Duration) LendArgs {
+	a.Age, a.Objective, a.Deadline = a.Age+waited, a.Objective-waited, a.Deadline-waited
+	return a
+}
+
+// TellArgs is the record of a cell that has got a new leader.
+type TellArgs struct{ Record []view.Change }
+
 // LendReply is the leader's decision.
 type LendReply struct {
 	Decision lending.Decision
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -52,6 +52,24 @@
 	return []view.Change{c}
 }
 
+// tellAll tells the other VMs that this one leads a cell. Their requests wait,
+// and otherwise they would learn it from an exchange some hundred milliseconds later.
+func (s *Service) tellAll(service string) {
+	args := TellArgs{Record: s.recordOf(service)}
+	for _, vm := range s.others("") {
+		go func() {
+			ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
+			defer cancel()
+			if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Tell", args, &struct{}{}); err != nil {
+				s.logger.Info("a VM was not told who leads a cell", "service", service, "vm", vm.ID, "error", err)
+			}
+		}()
+	}
+}
+
+// Tell implements the call of the same name.
+func (h *handler) Tell(a TellArgs, _ *struct{}) error { return h.s.view.Learn(a.Record) }
+
 // Return implements the call of the same name.
 func (h *handler) Return(a ReturnArgs, _ *struct{}) error {
 	if l := h.s.leadOf(a.Service); l != nil {
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 	store   view.Store
 	orders  Orders
 	clock   *clock.Clock
+	started time.Duration // reading of the clock
 	peers   *peer.Client
 	retry   RetryLimits
 	logger  hclog.Logger
@@ -92,7 +94,7 @@
 // New returns a service and registers its calls.
 func New(c Config) (*Service, error) {
 	s := &Service{
-		self: c.Self, view: c.View, store: c.Store, orders: c.Orders, clock: c.Clock, peers: c.Peers, retry: c.Retry, logger: c.Logger,
+		self: c.Self, view: c.View, store: c.Store, orders: c.Orders, clock: c.Clock, started: c.Clock.Now(), peers: c.Peers, retry: c.Retry, logger: c.Logger,
 		claims: metrics.GetOrRegisterCounter("cell.claims", c.Registry),
 		solo:   metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leads:  map[string]*lead{}, solos: map[string]*desk{}, claiming: map[string]bool{},
@@ -184,7 +186,7 @@
 		s.mu.Unlock()
 	}()
 	bound := time.Duration(0)
-	if seen != nil && !s.processEnded(seen.Leader, seen.Boot) {
+	if seen != nil && !processEnded(s.view, seen) {
 		var ok bool
 		if bound, ok = s.releaseLeader(s.ctx, svc.Name, seen); !ok {
 			return
@@ -195,6 +197,7 @@
 		return
 	}
 	s.claims.Inc(1)
+	s.tellAll(svc.Name)
 }
 
 // hasDeputy tells whether another VM acts for the leader of a record.
@@ -256,7 +259,7 @@
 		delete(s.quietAt, service)
 		return false
 	}
-	ended := c != nil && !known && s.processEnded(c.Leader, c.Boot)
+	ended := c != nil && !known && processEnded(s.view, c)
 	if s.cellSeen[service] != c { // a new leader gets its time to be heard
 		s.cellSeen[service] = c
 		s.quietAt[service] = now
@@ -351,18 +354,23 @@
 	return ok && s.clock.Now()-at < span
 }
 
+// tickSolos advances the desks of this VM's own. Requests that wait at one ask
+// the leader once the cell has one again.
 func (s *Service) tickSolos() {
-	s.mu.Lock()
-	desks := make([]*desk, 0, len(s.solos))
-	for _, d := range s.solos {
-		desks = append(desks, d)
-	}
-	s.mu.Unlock()
-	for _, d := range desks {
+	for service, d := range s.solosNow() {
+		if vm, _, ok := s.acting(service); ok && s.heardLately(vm.ID, vm.Boot) {
+			d.sendOn()
+		}
 		d.tick()
 	}
 }
 
+func (s *Service) solosNow() map[string]*desk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.solos)
+}
+
 // Leads tells whether this VM leads any cell.
 func (s *Service) Leads() bool {
 	s.mu.Lock()
--- a/node/view/read.go
+++ b/node/view/read.go
@@ -92,12 +92,13 @@
 
 // VM returns the record of a VM.
 func (v *View) VM(id string) (fleet.VM, bool) {
-	for _, vm := range v.VMs() {
-		if vm.ID == id {
-			return vm, true
-		}
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	e := v.entries[System][VMKey(id)]
+	if e == nil || e.VM == nil {
+		return fleet.VM{}, false
 	}
-	return fleet.VM{}, false
+	return *e.VM, true
 }
 
 // Cell returns the record of a service's cell and the number of that record,
