Count promises about a lost leader by process, and go on asking for them

Cause: open point A4 of the design, found by reading: a VM that promised to follow a leader no more forgets it when its process ends. If it starts again before the record of the new leader is written, it reads the old record and follows the old leader, while the new one counts on its promise. Change: promises name the process, and count if it is still the registered one when the record is written; a VM supports nobody before it knows its own registration, so that it knows each record before that. A leader without most promises asks again every 0.5 s and lowers the bound (keyspace.Rebound) once it has them. Ruled out: a second round of questions after each claim. Tests: core/support TestNoSupportAfterMajorityReleasedAndVMsRestarted, seen to fail when promises count whatever the process ("supported at 1s although 2 of 3 VMs released it until 1s"); core/keyspace TestReboundShortensTheWaitForDarkHolders.

--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -7,6 +7,7 @@
 package keyspace
 
 import (
+	"slices"
 	"time"
 )
 
@@ -137,6 +138,8 @@
 	committedAt  time.Duration
 	failing      map[Holder]time.Duration // since when calls to a target have no answer
 	ended        map[Holder]bool          // holders whose process is known to have ended
+	// bound is up to when grants of the previous manager may hold.
+	bound time.Duration
 }
 
 // proposal is a change that waits for the store.
@@ -145,7 +148,7 @@
 // New returns a manager of assignments that the store holds. An owner that the
 // previous manager may have granted keys to may hold them up to bound.
 func New(cfg Config, held []Assignment, bound time.Duration) *Manager {
-	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}, ended: map[Holder]bool{}}
+	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}, ended: map[Holder]bool{}, bound: bound}
 	for _, a := range held {
 		p := &part{Assignment: a, until: bound, unsureTo: bound, granted: true}
 		for _, h := range a.Prior {
@@ -159,6 +162,39 @@
 	return m
 }
 
+// Rebound tells that grants of the previous manager hold up to an earlier time
+// than was believed. Those that this manager has sent meanwhile count as before.
+func (m *Manager) Rebound(now, bound time.Duration) {
+	bound = max(bound, now+m.cfg.longest())
+	if bound >= m.bound {
+		return
+	}
+	parts := m.parts
+	if m.pending != nil {
+		parts = slices.Concat(parts, m.pending.parts)
+	}
+	for _, p := range parts {
+		for _, t := range p.ends() {
+			if *t == m.bound {
+				*t = bound
+			}
+		}
+	}
+	m.bound = bound
+}
+
+// ends returns the times up to which a part may be held.
+func (p *part) ends() []*time.Duration {
+	out := []*time.Duration{&p.until, &p.unsureTo}
+	for i := range p.prior {
+		out = append(out, &p.prior[i].until, &p.prior[i].unsureTo)
+	}
+	for _, c := range p.calls {
+		out = append(out, &c.heldTo)
+	}
+	return out
+}
+
 // OwnerState says whether requests for a key can be sent.
 type OwnerState uint8
 
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -111,3 +111,51 @@
 	}
 	assert.Equal(t, until, m.find(0).until)
 }
+
+// A VM that took a cell over learns that the leader before it had lost its
+// authority earlier than it had to assume: keys of a dark holder are given away
+// at the earlier time, but never while a grant of its own may last.
+func TestReboundShortensTheWaitForDarkHolders(t *testing.T) {
+	before := settled(t, "a", "b")
+	const assumed, learned = 20 * time.Second, 6 * time.Second
+	m := New(testConfig(), before.Assignments(), assumed)
+	dark, _, _ := m.Owner(0, 0)
+	rest := "b"
+	if dark.Target == "b" {
+		rest = "a"
+	}
+	_, ok := m.Propose(0, candidates(rest), &Load{})
+	require.True(t, ok)
+	m.Committed(0, 2)
+	_, state, wait := ownerAfter(m, 100*time.Millisecond, dark)
+	require.Equal(t, Lost, state)
+	assert.Equal(t, assumed-100*time.Millisecond, wait)
+	m.Rebound(time.Second, learned)
+	_, _, wait = m.Owner(time.Second, 0)
+	assert.Equal(t, learned-time.Second, wait)
+	ownerAfter(m, learned-time.Millisecond, dark)
+	_, state, _ = m.Owner(learned-time.Millisecond, 0)
+	assert.NotEqual(t, Held, state)
+	ownerAfter(m, learned, dark)
+	h, state, _ := m.Owner(learned, 0)
+	assert.Equal(t, Held, state)
+	assert.Equal(t, rest, h.Target)
+
+	late := New(testConfig(), before.Assignments(), assumed)
+	late.Step(5*time.Second, runs) // grants that are not answered yet
+	late.Rebound(5*time.Second, learned)
+	assert.Equal(t, 5*time.Second+testConfig().longest(), late.parts[0].until)
+}
+
+// ownerAfter lets the calls that are due end, those to the dark holder without
+// an answer, and returns the owner of the first key.
+func ownerAfter(m *Manager, now time.Duration, dark Holder) (Holder, OwnerState, time.Duration) {
+	for _, a := range m.Step(now, runs) {
+		result := Accepted
+		if a.Holder == dark {
+			result = NoAnswer
+		}
+		m.Done(now, a.ID, result, "")
+	}
+	return m.Owner(now, 0)
+}
--- a/core/support/support_test.go
+++ b/core/support/support_test.go
@@ -68,6 +68,67 @@
 	})
 }
 
+// process is one process of a VM.
+type process struct {
+	Follower
+	knowsRecord bool // of the new leader
+}
+
+// The same while VMs restart: a process that has begun since its VM released the
+// leader has forgotten that. The promises count whose processes are those that
+// are registered when the new leader's record is written; processes that register
+// later know the record.
+func TestNoSupportAfterMajorityReleasedAndVMsRestarted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		known := rapid.IntRange(2, 9).Draw(t, "VMs")
+		processes, promised := map[string]*process{}, map[string]*process{}
+		for i := 1; i < known; i++ {
+			processes[fmt.Sprint("vm-", i)] = &process{}
+		}
+		var leader Leader
+		var onWay []answer
+		var now, bound, end time.Duration
+		written, released := false, 0 // the VM that takes the cell is one of them
+		for range 150 {
+			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * ms
+			vm := fmt.Sprint("vm-", rapid.IntRange(1, known-1).Draw(t, "vm"))
+			p := processes[vm]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				asked := now - time.Duration(rapid.IntRange(0, 900).Draw(t, "delay"))*ms
+				if p.Support(now, "old", !p.knowsRecord) {
+					onWay = append(onWay, answer{vm, asked})
+				}
+			case 2:
+				if len(onWay) > 0 {
+					i := rapid.IntRange(0, len(onWay)-1).Draw(t, "answer")
+					leader.Supported(onWay[i].vm, onWay[i].asked)
+				}
+			case 3:
+				if !written {
+					promised[vm] = p
+					bound = max(bound, Lease, p.Release(now, "old"))
+				}
+			case 4:
+				if written {
+					continue
+				}
+				for id, by := range promised {
+					if processes[id] == by {
+						released++
+					}
+				}
+				written, end = true, now+bound
+			case 5:
+				processes[vm] = &process{knowsRecord: written}
+			}
+			if written && released >= Majority(known) && now >= end && leader.Holds(now, known) {
+				t.Fatalf("supported at %s although %d of %d VMs released it until %s", now, released, known, end)
+			}
+		}
+	})
+}
+
 // The store is away for all: a leader that all VMs follow goes on, also when a
 // third of them is lost.
 func TestFollowedLeaderGoesOn(t *testing.T) {
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -75,9 +75,9 @@
 	}
 }
 
-// claim makes this VM the leader of a cell. The leader before may grant keys
-// for up to bound after the record is written.
-func (s *Service) claim(ctx context.Context, svc fleet.Service, seen *fleet.Cell, bound time.Duration) error {
+// claim makes this VM the leader of a cell. Bound is asked once the record is
+// written, and tells how long after that the leader before may still grant keys.
+func (s *Service) claim(ctx context.Context, svc fleet.Service, seen *fleet.Cell, bound func() time.Duration) error {
 	if err := s.readSystem(ctx); err != nil {
 		return errors.Wrap(err, "read the system's log before a claim")
 	}
@@ -93,7 +93,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write the claim")
 	}
-	s.begin(svc.Name, s.inherit(svc, bound), number)
+	s.begin(svc.Name, s.inherit(svc, bound()), number)
 	return nil
 }
 
@@ -104,7 +104,13 @@
 		return nil
 	}
 	c, number := s.view.Cell(svc.Name)
-	return keyspace.New(keyConfig(), resolveFences(c, number), s.clock.Now()+bound+callTimeout+time.Duration(float64(hold)*(1+clockError)))
+	return keyspace.New(keyConfig(), resolveFences(c, number), s.clock.Now()+bound+afterAuthority())
+}
+
+// afterAuthority is how long a target may hold keys after the end of the
+// authority under which they were granted: the call may be on its way.
+func afterAuthority() time.Duration {
+	return callTimeout + time.Duration(float64(hold)*(1+clockError))
 }
 
 // resolveFences returns a record's assignments with the fences that the store
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -140,7 +140,7 @@
 	}
 	// The answer of another VM that was asked to act may have been lost: it stops
 	// as a leader does.
-	if err := l.s.claim(ctx, svc, l.acts, authority); err != nil {
+	if err := l.s.claim(ctx, svc, l.acts, boundOf(authority)); err != nil {
 		l.logger.Info("claim failed", "error", err)
 	}
 }
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -280,5 +280,5 @@
 	s.mu.Lock()
 	s.offered[svc.Name] = a.Learned
 	s.mu.Unlock()
-	return s.claim(ctx, svc, c, 0)
+	return s.claim(ctx, svc, c, boundOf(0))
 }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -185,12 +185,14 @@
 		delete(s.quietAt, svc.Name)
 		s.mu.Unlock()
 	}()
-	bound := time.Duration(0)
+	bound := boundOf(0)
+	var r *promises
 	if seen != nil && !processEnded(s.view, seen) {
 		var ok bool
-		if bound, ok = s.releaseLeader(s.ctx, svc.Name, seen); !ok {
+		if r, ok = s.releaseLeader(s.ctx, svc.Name, seen); !ok {
 			return
 		}
+		bound = func() time.Duration { return s.boundAfter(r) }
 	}
 	if err := s.claim(s.ctx, svc, seen, bound); err != nil {
 		s.logger.Info("claim failed", "service", svc.Name, "error", err)
@@ -198,8 +200,14 @@
 	}
 	s.claims.Inc(1)
 	s.tellAll(svc.Name)
+	if l := s.leadOf(svc.Name); l != nil && l.keys != nil && r != nil && !s.fromMost(r) {
+		go l.gatherPromises(r)
+	}
 }
 
+// boundOf returns a bound that is known before a claim.
+func boundOf(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // hasDeputy tells whether another VM acts for the leader of a record.
 func (s *Service) hasDeputy(service string, c *fleet.Cell) bool {
 	s.mu.Lock()
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -29,18 +29,26 @@
 type ReleaseReply struct {
 	Hears bool          // the VM hears the process and goes on to follow it
 	Left  time.Duration // how long the process may still count on the VM
+	Boot  string        // the process that answers
 }
 
 // Support implements the call of the same name.
 func (h *handler) Support(a SupportArgs, reply *SupportReply) error {
 	c, _ := h.s.view.Cell(a.Service)
-	leads := c != nil && c.Leader == a.Leader && c.Boot == a.Boot
+	leads := c != nil && c.Leader == a.Leader && c.Boot == a.Boot && h.s.knowsItself()
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
 	reply.Supports = h.s.follower(a.Service).Support(h.s.clock.Now(), a.Leader+a.Boot, leads)
 	return nil
 }
 
+// knowsItself tells whether this VM knows the system's log up to its own
+// registration: if a new leader's record is older than that, it knows the record.
+func (s *Service) knowsItself() bool {
+	vm, known := s.view.VM(s.self.ID)
+	return known && vm.Boot == s.self.Boot
+}
+
 // Release implements the call of the same name.
 func (h *handler) Release(a SupportArgs, reply *ReleaseReply) error {
 	leader, c, known := h.s.acting(a.Service)
@@ -49,7 +57,7 @@
 		reply.Hears = true
 		return nil
 	}
-	reply.Left = h.s.release(a)
+	reply.Left, reply.Boot = h.s.release(a), h.s.self.Boot
 	return nil
 }
 
@@ -136,27 +144,90 @@
 	return l.support.Holds(l.now(), len(l.view.VMs()))
 }
 
-// releaseLeader asks all VMs to follow a leader no more. It returns false if
-// one of them hears it, and otherwise how long the leader may still grant keys
-// without the store.
-func (s *Service) releaseLeader(ctx context.Context, service string, c *fleet.Cell) (bound time.Duration, ok bool) {
-	args := SupportArgs{Service: service, Leader: c.Leader, Boot: c.Boot}
-	bound, ok = authority, true
-	released := 1 // this VM
-	askAll(ctx, s, s.others(c.Leader), "Release", args, func(vm fleet.VM, reply ReleaseReply) {
-		switch {
-		case reply.Hears:
+// promises are the answers of the VMs that follow the leader of a record no more.
+type promises struct {
+	service string
+	record  *fleet.Cell
+	left    time.Duration     // for how long the leader may still count on a VM
+	from    map[string]string // process that promised, by VM
+}
+
+// releaseLeader asks all VMs to follow the leader of a record no more. It returns
+// false if one of them hears it.
+func (s *Service) releaseLeader(ctx context.Context, service string, c *fleet.Cell) (r *promises, ok bool) {
+	r = &promises{service: service, record: c, from: map[string]string{}}
+	return r, s.askToRelease(ctx, r)
+}
+
+func (s *Service) askToRelease(ctx context.Context, r *promises) (ok bool) {
+	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot}
+	ok = true
+	// An answer of a process that has ended since may count for a lease.
+	r.left = max(support.Lease, s.release(args))
+	askAll(ctx, s, s.others(r.record.Leader), "Release", args, func(vm fleet.VM, reply ReleaseReply) {
+		if reply.Hears {
 			ok = false
-			s.logger.Info("did not claim a cell: another VM hears its leader", "service", service, "leader", c.Leader, "by", vm.ID)
-		default:
-			released++
-			bound = max(bound, reply.Left)
+			s.logger.Info("another VM hears the leader of a cell", "service", r.service, "leader", r.record.Leader, "by", vm.ID)
+			return
 		}
+		r.from[vm.ID] = reply.Boot
+		r.left = max(r.left, reply.Left)
 	})
-	bound = max(bound, s.release(args))
-	if known := len(s.view.VMs()); released < support.Majority(known) {
-		s.logger.Info("claims a cell without most VMs", "service", service, "leader", c.Leader, "released", released, "vms", known)
-		bound = support.MaxExtension
+	return ok
+}
+
+// fromMost tells whether most VMs have promised. A promise counts only for the
+// process that is registered: a later one may have read the log before the new
+// leader's record was written, and those that register after that know it.
+func (s *Service) fromMost(r *promises) bool {
+	n, vms := 1, s.view.VMs() // this VM
+	for _, vm := range vms {
+		if boot, promised := r.from[vm.ID]; promised && boot == vm.Boot {
+			n++
+		}
+	}
+	if n >= support.Majority(len(vms)) {
+		return true
+	}
+	s.logger.Info("most VMs have not promised to leave a leader", "service", r.service, "leader", r.record.Leader, "promised", n, "vms", len(vms))
+	return false
+}
+
+// boundAfter returns how long the leader before may still grant keys, once the
+// record of the new one is written.
+func (s *Service) boundAfter(r *promises) time.Duration {
+	if s.fromMost(r) {
+		return max(authority, r.left)
+	}
+	return support.MaxExtension
+}
+
+// promisePause is the pause between two rounds of questions for promises: VMs
+// that did not answer are suspended or start again, mostly for seconds.
+const promisePause = 500 * time.Millisecond
+
+// gatherPromises asks the VMs that have not answered before the record of this
+// leader was written. Once most have, keys of holders that do not answer need
+// not wait for as long as the leader before could have gone on.
+func (l *lead) gatherPromises(r *promises) {
+	began := l.now()
+	for l.now() < began+support.MaxExtension {
+		select {
+		case <-l.closed:
+			return
+		case <-time.After(promisePause):
+		}
+		l.s.askToRelease(l.s.ctx, r)
+		if !l.s.fromMost(r) {
+			continue
+		}
+		l.mu.Lock()
+		now := l.now()
+		bound := max(began+authority, now+r.left) + afterAuthority()
+		l.keys.Rebound(now, bound)
+		l.mu.Unlock()
+		l.logger.Info("most VMs have promised to leave the leader before", "leader", r.record.Leader, "boot", r.record.Boot,
+			"after", now-began, "its_grants_end_within", bound-now)
+		return
 	}
-	return bound, ok
 }
