Pass on records that only move keys at a bounded rate

The leader of the keyed cell writes its record up to 2.4 times a second, tens of KB, and the reading VM passed each on to all others. Only a VM that reaches no leader goes by its keys. Change: a VM tells which versions of the cells' records it has; one that differs only in keys is held back until the VM's own is as old as 4 KB/s allow, and the log counts as known up to there, so that a VM that reads for itself reads it. A record with another leader or process is passed on at once. A claim goes on when the leader before has moved keys since it was last heard.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -82,7 +82,7 @@
 		return errors.Wrap(err, "read the system's log before a claim")
 	}
 	now, before := s.view.Cell(svc.Name)
-	if now != seen {
+	if !sameLeader(now, seen) {
 		return errDeposed
 	}
 	record := &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot}
@@ -97,6 +97,15 @@
 	return nil
 }
 
+// sameLeader tells whether two records name the same process. A VM may have read
+// the last changes of a leader's keys just before it claims the cell.
+func sameLeader(a, b *fleet.Cell) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Leader == b.Leader && a.Boot == b.Boot
+}
+
 // inherit builds the manager of a cell from its newest record, which names
 // this VM. The leader before may still grant keys for up to bound.
 func (s *Service) inherit(svc fleet.Service, bound time.Duration) *keyspace.Manager {
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -37,6 +37,7 @@
 	Service string
 	Change  uint64
 	VM      fleet.VM
+	Record  []view.Change // of that leader, empty if it is not passed on
 }
 
 // appoint asks VMs to act for this leader until one does.
@@ -76,7 +77,7 @@
 	s.offered[a.Service] = a.Learned
 	s.mu.Unlock()
 	s.beginAs(a.Service, s.inherit(svc, 0), number, c)
-	s.announce(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self})
+	s.announce(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self, Record: s.recordOf(a.Service)})
 	reply.Acts = true
 	return nil
 }
@@ -98,7 +99,7 @@
 // Deputy implements the call of the same name.
 func (h *handler) Deputy(a DeputyArgs, _ *struct{}) error {
 	h.s.noteDeputy(a)
-	return nil
+	return h.s.view.Learn(a.Record)
 }
 
 func (s *Service) noteDeputy(a DeputyArgs) {
@@ -135,8 +136,8 @@
 	defer l.takingOver.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	if err := l.s.readSystem(ctx); err != nil {
-		return // the store is away still; the feed has logged it
+	if err := l.s.readSystem(ctx); err != nil || !l.leads() {
+		return // the store is away still, which the feed has logged, or the leader went on
 	}
 	// The answer of another VM that was asked to act may have been lost: it stops
 	// as a leader does.
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -58,7 +58,7 @@
 // SyncArgs tells a VM what the caller knows.
 type SyncArgs struct {
 	VM     string
-	Ends   [3]int64
+	Known  view.Known
 	Passes bool // asks for what the VM knows beyond that
 }
 
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -82,7 +82,7 @@
 func (h *handler) Sync(a SyncArgs, reply *SyncReply) error {
 	reply.Boot = h.s.self.Boot
 	if a.Passes {
-		reply.Batch = h.s.view.Since(a.Ends)
+		reply.Batch = h.s.view.Since(a.Known)
 	}
 	return nil
 }
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -99,9 +99,12 @@
 func (s *Service) syncWith(vm partner) {
 	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
 	defer cancel()
-	asked, began, sent := s.view.Ends(), s.clock.Now(), time.Now()
+	args, began, sent := SyncArgs{VM: s.self.ID, Passes: vm.passes}, s.clock.Now(), time.Now()
+	if vm.passes {
+		args.Known = s.view.Known()
+	}
 	var reply SyncReply
-	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", SyncArgs{VM: s.self.ID, Ends: asked, Passes: vm.passes}, &reply); err != nil {
+	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", args, &reply); err != nil {
 		if ctx.Err() != nil && s.ctx.Err() == nil {
 			s.peers.Drop(vm.PeerAddress, sent)
 		}
@@ -109,7 +112,7 @@
 		return
 	}
 	if vm.passes {
-		s.view.Merge(reply.Batch, asked, s.clock.Now()-began)
+		s.view.Merge(reply.Batch, args.Known, s.clock.Now()-began)
 	}
 	s.noteHeard(vm.ID, reply.Boot, vm.PeerAddress)
 }
--- a/node/view/pack_test.go
+++ b/node/view/pack_test.go
@@ -50,16 +50,16 @@
 	reader.Apply(Operators, []Change{{Log: Operators, Key: "config", Config: config}}, 1, now)
 	reader.Apply(System, []Change{{Log: System, Key: CellKey("s"), Cell: cell}}, 1, now)
 	var sent bytes.Buffer
-	require.NoError(t, gob.NewEncoder(&sent).Encode(reader.Since(other.Ends())))
+	require.NoError(t, gob.NewEncoder(&sent).Encode(reader.Since(other.Known())))
 	assert.Less(t, float64(sent.Len()), most)
 	var b Batch
 	require.NoError(t, gob.NewDecoder(&sent).Decode(&b))
-	other.Merge(b, other.Ends(), 0)
+	other.Merge(b, other.Known(), 0)
 	got, _ := other.Config()
 	assert.Equal(t, config, got)
 	gotCell, _ := other.Cell("s")
 	assert.Equal(t, cell, gotCell)
-	assert.Len(t, reader.Since(other.Ends()).Changes, 0)
+	assert.Len(t, reader.Since(other.Known()).Changes, 0)
 }
 
 // A damaged value must not count as known: the VM would never ask for it again.
@@ -67,9 +67,9 @@
 	now := time.Second
 	reader, other := newTestView(&now), newTestView(&now)
 	reader.Apply(Operators, []Change{{Log: Operators, Key: "config", Config: manyRoutes(3)}}, 1, now)
-	b := reader.Since(other.Ends())
+	b := reader.Since(other.Known())
 	b.Changes[0].Packed = b.Changes[0].Packed[:10]
-	other.Merge(b, other.Ends(), 0)
+	other.Merge(b, other.Known(), 0)
 	got, _ := other.Config()
 	assert.Nil(t, got)
 	assert.Zero(t, other.End(Operators))
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -57,6 +57,19 @@
 	Age time.Duration // since the log was read up to there
 }
 
+// Known is what a VM knows, as it tells another VM.
+type Known struct {
+	Ends  [numLogs]int64 // offsets up to which the logs are known
+	Cells map[string]CellVersion
+}
+
+// CellVersion names the version of a cell's record that a VM has.
+type CellVersion struct {
+	Leader, Boot string
+	Change       uint64
+	Age          time.Duration // since the VM that read it did so
+}
+
 // Batch is a part of the view, as VMs pass it to each other.
 type Batch struct {
 	Changes   []Change
@@ -144,11 +157,18 @@
 	return v.ends[l]
 }
 
-// Ends returns the offsets up to which the logs are known.
-func (v *View) Ends() [numLogs]int64 {
+// Known returns what this VM knows, for another VM that is asked for more.
+func (v *View) Known() Known {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	return v.ends
+	k := Known{Ends: v.ends, Cells: map[string]CellVersion{}}
+	now := v.now()
+	for _, e := range v.entries[System] {
+		if c := e.Cell; c != nil {
+			k.Cells[c.Service] = CellVersion{Leader: c.Leader, Boot: c.Boot, Change: c.Change, Age: now - e.seenAt}
+		}
+	}
+	return k
 }
 
 // Staleness returns how long ago a log was known to its end.
@@ -321,33 +341,71 @@
 	return nil
 }
 
-// Since returns what another VM that knows the logs up to ends does not know.
-func (v *View) Since(ends [numLogs]int64) Batch {
+// Since returns what another VM does not know. A record that only moves keys
+// of a cell is held back while that VM has one that is not old: only VMs that
+// reach no leader go by its keys, and to pass on each of them would take more
+// with each target and VM. The log then counts as known up to there.
+func (v *View) Since(k Known) Batch {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var b Batch
 	now := v.now()
 	for l := range numLogs {
-		b.Positions[l] = Position{End: v.ends[l], Age: now - v.freshAt[l]}
 		if !v.known[l] {
-			b.Positions[l] = Position{}
 			continue
 		}
+		b.Positions[l] = Position{End: v.ends[l], Age: now - v.freshAt[l]}
 		for _, e := range v.entries[l] {
-			if e.Offset >= ends[l] {
-				c, err := e.packed()
-				if err != nil {
-					v.logger.Error("a change is passed on as it is", "log", l, "key", e.Key, "offset", e.Offset, "error", err)
-				}
-				c.Age = now - e.seenAt
-				b.Changes = append(b.Changes, c)
+			if e.Offset < k.Ends[l] {
+				continue
+			}
+			c, err := e.packed()
+			if err != nil {
+				v.logger.Error("a change is passed on as it is", "log", l, "key", e.Key, "offset", e.Offset, "error", err)
+			}
+			switch k.needs(e.Cell, len(c.Packed)) {
+			case has:
+				continue
+			case canWait:
+				b.Positions[l].End = min(b.Positions[l].End, e.Offset)
+				continue
 			}
+			c.Age = now - e.seenAt
+			b.Changes = append(b.Changes, c)
 		}
 	}
 	slices.SortFunc(b.Changes, func(a, b Change) int { return int(a.Offset - b.Offset) })
 	return b
 }
 
+// keysRate bounds the bytes a second that a VM gets to know of who owns which
+// keys: a seventh of the 27 KB/s that control may take on a VM.
+const keysRate = 4 << 10
+
+// need tells whether a VM is to be sent a record.
+type need int
+
+const (
+	sendNow need = iota
+	has
+	canWait
+)
+
+// needs tells whether a VM needs the record of a cell, nil for other records.
+func (k Known) needs(c *fleet.Cell, bytes int) need {
+	if c == nil {
+		return sendNow
+	}
+	mine, known := k.Cells[c.Service]
+	switch {
+	case known && mine.Change == c.Change:
+		return has
+	case known && mine.Leader == c.Leader && mine.Boot == c.Boot && mine.Age < time.Duration(bytes)*time.Second/keysRate:
+		return canWait
+	}
+	return sendNow
+}
+
 func unpackAll(changes []Change) error {
 	for i, c := range changes {
 		var err error
@@ -358,14 +416,13 @@
 	return nil
 }
 
-// Merge takes what another VM knows. Since was asked for the ends that this VM
-// had then.
-func (v *View) Merge(b Batch, asked [numLogs]int64, elapsed time.Duration) {
+// Merge takes what another VM knows beyond what this VM had told it.
+func (v *View) Merge(b Batch, told Known, elapsed time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
 	for l := range numLogs {
-		if b.Positions[l].End == 0 && !v.known[l] || asked[l] > v.ends[l] {
+		if b.Positions[l].End == 0 && !v.known[l] || told.Ends[l] > v.ends[l] {
 			continue
 		}
 		var mine []Change
--- a/node/view/view_test.go
+++ b/node/view/view_test.go
@@ -1,11 +1,13 @@
 package view
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -96,12 +98,12 @@
 	now := 100 * time.Second
 	reader, other := newTestView(&now), newTestView(&now)
 	reader.Apply(Targets, []Change{target(0, "a", false), target(1, "b", true)}, 2, now-time.Second)
-	asked := other.Ends()
+	asked := other.Known()
 	other.Merge(reader.Since(asked), asked, 10*time.Millisecond)
 	assert.Equal(t, []string{"a"}, usable(other))
 	assert.Equal(t, time.Second+10*time.Millisecond, other.Staleness(Targets))
 	reader.Apply(Targets, []Change{target(2, "b", true)}, 3, now)
-	assert.Empty(t, reader.Since(other.Ends()).Changes, "a repeated entry does not travel")
+	assert.Empty(t, reader.Since(other.Known()).Changes, "a repeated entry does not travel")
 }
 
 // A router that runs for months must not remember each target that ever was.
@@ -118,3 +120,66 @@
 	assert.False(t, known)
 	assert.Empty(t, v.entries[Targets])
 }
+
+func cellRecord(offset int64, boot string, ranges int) Change {
+	c := &fleet.Cell{Service: "s", Leader: "vm-1", Boot: boot, Change: uint64(offset) + 100}
+	for i := range ranges {
+		owner := keyspace.Holder{Target: fmt.Sprintf("i-%08x", uint32(i+int(offset))*2654435761), Life: int64(i)}
+		c.Keys = append(c.Keys, keyspace.Assignment{From: i, To: i, Owner: owner, Fence: offset})
+	}
+	return Change{Log: System, Key: CellKey("s"), Offset: offset, Cell: c}
+}
+
+// The load of a cell with many targets wanders, so that its leader writes its
+// record several times a second. All other VMs together must not get each of them.
+func TestRecordsOfWanderingKeysAreNotAllPassedOn(t *testing.T) {
+	now := time.Minute
+	reader, other := newTestView(&now), newTestView(&now)
+	sent := 0
+	exchange := func() {
+		k := other.Known()
+		b := reader.Since(k)
+		for _, c := range b.Changes {
+			sent += len(c.Packed)
+		}
+		other.Merge(b, k, 0)
+	}
+	offset := int64(0)
+	const length = 20 * time.Second
+	for end := now + length; now < end; now += 200 * time.Millisecond {
+		if offset%2 == 0 {
+			reader.Apply(System, []Change{cellRecord(offset, "a", 800)}, offset+1, now)
+		} else {
+			reader.Apply(System, nil, offset, now)
+		}
+		offset++
+		exchange()
+		assert.LessOrEqual(t, other.Staleness(System), 200*time.Millisecond, "it still counts as up to date")
+	}
+	assert.Less(t, float64(sent)/length.Seconds(), 2.0*keysRate)
+	held, number := other.Cell("s")
+	assert.NotNil(t, held)
+	assert.LessOrEqual(t, other.End(System), offset)
+
+	// What follows a record that was held back is passed on, and that record
+	// itself later.
+	offset++
+	reader.Apply(System, []Change{cellRecord(offset, "a", 800), {Log: System, Key: VMKey("x"), Offset: offset + 1, VM: &fleet.VM{ID: "x"}}}, offset+2, now)
+	exchange()
+	_, known := other.VM("x")
+	assert.True(t, known)
+	_, same := other.Cell("s")
+	assert.Equal(t, number, same)
+	assert.LessOrEqual(t, other.End(System), offset, "the VM reads on from there if it reads for itself")
+	now += 10 * time.Second
+	exchange()
+	_, newest := other.Cell("s")
+	assert.Equal(t, Number(offset), newest)
+	assert.Equal(t, offset+2, other.End(System))
+
+	// A new leader is known at once.
+	reader.Apply(System, []Change{cellRecord(offset+2, "b", 800)}, offset+3, now)
+	exchange()
+	c, _ := other.Cell("s")
+	assert.Equal(t, "b", c.Boot)
+}
