Tell the VMs of a new leader in one round; bound what a desk remembers

One line a VM that was not told, up to 75 a claim, goes against the budget of the log; the loop that lowers the bound ran on after the bound had passed; owners that turned requests away were remembered for good. Change: one line with the number of VMs told; the loop ends with the bound; old answers are dropped.

--- a/core/lending/unled.go
+++ b/core/lending/unled.go
@@ -1,6 +1,9 @@
 package lending
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // unledPause is how long a target that said it does not hold a key is left
 // alone by a VM without a leader: about the time in which a cell whose leader
@@ -10,9 +13,9 @@
 // Unled tells a VM that lends alone what to expect of the owners that the last
 // record of a cell names. Nobody tells it which of them still hold their keys.
 type Unled struct {
-	hold    time.Duration // that targets keep keys without a renewal
-	started time.Duration // when the VM's process began
-	without map[string]time.Duration
+	hold    time.Duration            // that targets keep keys without a renewal
+	started time.Duration            // when the VM's process began
+	without map[string]time.Duration // when targets said that they do not hold their keys
 }
 
 // NewUnled returns what a VM knows whose process began at a reading of its clock.
@@ -22,7 +25,10 @@
 
 // WrongOwner notes that a target said that it does not hold a key that the
 // record gives it.
-func (u *Unled) WrongOwner(now time.Duration, target string) { u.without[target] = now }
+func (u *Unled) WrongOwner(now time.Duration, target string) {
+	maps.DeleteFunc(u.without, func(_ string, at time.Duration) bool { return now >= at+unledPause })
+	u.without[target] = now
+}
 
 // Owner tells what a request for a key of a recorded owner can expect. After the
 // end of the leader's process, a VM that has run for less than a hold may see
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -47,6 +47,7 @@
 			}
 		}
 	}
+	// The cell changes leaders faster than this request can follow.
 	return Slot{Decision: lending.Decision{Reason: lending.NotStarted, RetryAfter: silence}}, nil
 }
 
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
@@ -55,16 +56,9 @@
 // tellAll tells the other VMs that this one leads a cell. Their requests wait,
 // and otherwise they would learn it from an exchange some hundred milliseconds later.
 func (s *Service) tellAll(service string) {
-	args := TellArgs{Record: s.recordOf(service)}
-	for _, vm := range s.others("") {
-		go func() {
-			ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
-			defer cancel()
-			if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Tell", args, &struct{}{}); err != nil {
-				s.logger.Info("a VM was not told who leads a cell", "service", service, "vm", vm.ID, "error", err)
-			}
-		}()
-	}
+	others, told := s.others(""), 0
+	askAll(s.ctx, s, others, "Tell", TellArgs{Record: s.recordOf(service)}, func(fleet.VM, struct{}) { told++ })
+	s.logger.Info("told the VMs who leads a cell", "service", service, "told", told, "vms", len(others))
 }
 
 // Tell implements the call of the same name.
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -199,7 +199,7 @@
 		return
 	}
 	s.claims.Inc(1)
-	s.tellAll(svc.Name)
+	go s.tellAll(svc.Name)
 	if l := s.leadOf(svc.Name); l != nil && l.keys != nil && r != nil {
 		go l.settleBefore(r)
 	}
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -212,7 +212,7 @@
 // keys of holders that do not answer wait, and no keys move for the load's sake.
 func (l *lead) settleBefore(r *promises) {
 	began, most := l.now(), l.s.fromMost(r)
-	for l.now() < began+support.MaxExtension {
+	for l.boundLeft() > 0 {
 		select {
 		case <-l.closed:
 			return
@@ -232,6 +232,13 @@
 	}
 }
 
+// boundLeft returns for how long grants of the leader before may still hold.
+func (l *lead) boundLeft() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keys.Bound() - l.now()
+}
+
 // rebound tells the keys that the leader before has no authority from a time on.
 func (l *lead) rebound(r *promises, authorityEnds time.Duration, why string) {
 	l.mu.Lock()
