--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -249,6 +249,10 @@
 		m.load.Add(rapid.IntRange(0, modelKeys-1).Draw(m.t, "hot")*keyStride, 3*time.Second)
 	case 4:
 		m.replaceLeader()
+	case 7:
+		if m.old != nil { // the new leader learns when the old one's authority ends
+			m.m.Rebound(m.now, m.oldUntil+testConfig().longest())
+		}
 	case 5, 6:
 		if m.commitAt == 0 {
 			if a, ok := m.m.Propose(m.now, m.candidates(), m.load); ok {
@@ -273,6 +277,9 @@
 // modelAuthority is how long a replaced leader may go on granting.
 const modelAuthority = 2500 * time.Millisecond
 
+// modelExtension is what a new leader assumes that does not know better yet.
+const modelExtension = 15 * time.Second
+
 // replaceLeader lets another manager take over from what the store holds. The
 // old one goes on for as long as its last confirmation lasts.
 func (m *model) replaceLeader() {
@@ -280,7 +287,11 @@
 		return
 	}
 	m.old, m.oldUntil = m.m, m.now+modelAuthority
-	m.m = New(testConfig(), m.m.Assignments(), m.now+modelAuthority+testConfig().longest())
+	assumed := modelAuthority
+	if rapid.Bool().Draw(m.t, "without most promises") {
+		assumed = modelExtension
+	}
+	m.m = New(testConfig(), m.m.Assignments(), m.now+assumed+testConfig().longest())
 	m.m.TakeOver()
 	m.fence++
 	m.m.Committed(m.now, m.fence)
