--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -138,8 +138,8 @@
 	committedAt  time.Duration
 	failing      map[Holder]time.Duration // since when calls to a target have no answer
 	ended        map[Holder]bool          // holders whose process is known to have ended
-	// bound is up to when grants of the previous manager may hold.
-	bound time.Duration
+	// formerBound is up to when grants of the previous manager may hold.
+	formerBound time.Duration
 }
 
 // proposal is a change that waits for the store.
@@ -148,7 +148,7 @@
 // New returns a manager of assignments that the store holds. An owner that the
 // previous manager may have granted keys to may hold them up to bound.
 func New(cfg Config, held []Assignment, bound time.Duration) *Manager {
-	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}, ended: map[Holder]bool{}, bound: bound}
+	m := &Manager{cfg: cfg, calls: map[uint64]*call{}, failing: map[Holder]time.Duration{}, ended: map[Holder]bool{}, formerBound: bound}
 	for _, a := range held {
 		p := &part{Assignment: a, until: bound, unsureTo: bound, granted: true}
 		for _, h := range a.Prior {
@@ -162,11 +162,11 @@
 	return m
 }
 
-// Rebound tells that grants of the previous manager hold up to an earlier time
+// LowerFormerBound tells that grants of the previous manager hold up to an earlier time
 // than was believed. Those that this manager has sent meanwhile count as before.
-func (m *Manager) Rebound(now, bound time.Duration) {
+func (m *Manager) LowerFormerBound(now, bound time.Duration) {
 	bound = max(bound, now+m.cfg.longest())
-	if bound >= m.bound {
+	if bound >= m.formerBound {
 		return
 	}
 	parts := m.parts
@@ -175,16 +175,16 @@
 	}
 	for _, p := range parts {
 		for _, t := range p.ends() {
-			if *t == m.bound {
+			if *t == m.formerBound {
 				*t = bound
 			}
 		}
 	}
-	m.bound = bound
+	m.formerBound = bound
 }
 
-// Bound returns up to when grants of the previous manager may hold.
-func (m *Manager) Bound() time.Duration { return m.bound }
+// FormerBound returns up to when grants of the previous manager may hold.
+func (m *Manager) FormerBound() time.Duration { return m.formerBound }
 
 // ends returns the times up to which a part may be held.
 func (p *part) ends() []*time.Duration {
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -115,7 +115,7 @@
 // A VM that took a cell over learns that the leader before it had lost its
 // authority earlier than it had to assume: keys of a dark holder are given away
 // at the earlier time, but never while a grant of its own may last.
-func TestReboundShortensTheWaitForDarkHolders(t *testing.T) {
+func TestLowerBoundShortensTheWaitForDarkHolders(t *testing.T) {
 	before := settled(t, "a", "b")
 	const assumed, learned = 20 * time.Second, 6 * time.Second
 	m := New(testConfig(), before.Assignments(), assumed)
@@ -130,7 +130,7 @@
 	_, state, wait := ownerAfter(m, 100*time.Millisecond, dark)
 	require.Equal(t, Lost, state)
 	assert.Equal(t, assumed-100*time.Millisecond, wait)
-	m.Rebound(time.Second, learned)
+	m.LowerFormerBound(time.Second, learned)
 	_, _, wait = m.Owner(time.Second, 0)
 	assert.Equal(t, learned-time.Second, wait)
 	ownerAfter(m, learned-time.Millisecond, dark)
@@ -143,7 +143,7 @@
 
 	late := New(testConfig(), before.Assignments(), assumed)
 	late.Step(5*time.Second, runs) // grants that are not answered yet
-	late.Rebound(5*time.Second, learned)
+	late.LowerFormerBound(5*time.Second, learned)
 	assert.Equal(t, 5*time.Second+testConfig().longest(), late.parts[0].until)
 }
 
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -251,7 +251,7 @@
 		m.replaceLeader()
 	case 7:
 		if m.old != nil { // the new leader learns when the old one's authority ends
-			m.m.Rebound(m.now, m.oldUntil+testConfig().longest())
+			m.m.LowerFormerBound(m.now, m.oldUntil+testConfig().longest())
 		}
 	case 5, 6:
 		if m.commitAt == 0 {
--- a/core/lending/unled_test.go
+++ b/core/lending/leaderless_test.go
@@ -16,9 +16,9 @@
 	return r
 }
 
-// unledLender is the lender of a VM without a leader, 20 of whose targets are
+// leaderlessLender is the lender of a VM without a leader, 20 of whose targets are
 // named by the last record as owners of 20 keys.
-func unledLender(u *Unled, leaderEnded bool) *Lender {
+func leaderlessLender(u *Leaderless, leaderEnded bool) *Lender {
 	targets := pool(20)
 	cfg := testConfig()
 	cfg.SlotsPerTarget, cfg.Budget.Burst = 1, 1
@@ -31,7 +31,7 @@
 // have lapsed meanwhile: requests must wait for the new leader, not be sent to
 // owners that turn them away.
 func TestAllVMsRestartedRequestsWaitForLeader(t *testing.T) {
-	l := unledLender(NewUnled(0, testHold), true)
+	l := leaderlessLender(NewLeaderless(0, testHold), true)
 	for i := range 20 {
 		l.Ask(ms, patientRead(uint64(i+1), ms, i))
 	}
@@ -43,13 +43,13 @@
 	l.Ask(401*ms, urgent)
 	d := take(l)[100]
 	assert.Equal(t, NoOwner, d.Reason, "a leader would come too late for it")
-	assert.GreaterOrEqual(t, d.RetryAfter, unledPause/2)
+	assert.GreaterOrEqual(t, d.RetryAfter, leaderlessPause/2)
 }
 
 // The leader alone is lost: its grants last until it is replaced, and a VM that
 // has run all the while goes on at once.
 func TestLeaderLostOwnersAreAskedAtOnce(t *testing.T) {
-	l := unledLender(NewUnled(-time.Minute, testHold), true)
+	l := leaderlessLender(NewLeaderless(-time.Minute, testHold), true)
 	r := request(1, ms)
 	r.Key = 3
 	l.Ask(ms, r)
@@ -59,8 +59,8 @@
 // A target that has lost its keys turns one request away, not each one that is
 // for its keys.
 func TestOwnerWithoutKeysIsAskedOnce(t *testing.T) {
-	u := NewUnled(-time.Minute, testHold)
-	l := unledLender(u, false)
+	u := NewLeaderless(-time.Minute, testHold)
+	l := leaderlessLender(u, false)
 	ask := func(id uint64, now time.Duration, key int) Decision {
 		l.Ask(now, patientRead(id, now, key))
 		return take(l)[id]
@@ -71,6 +71,6 @@
 	l.Return(2*ms, Usage{ID: 1, Result: WrongOwner})
 	assert.Equal(t, Decision{}, ask(2, 3*ms, 3), "waits for a leader")
 	assert.True(t, ask(3, 3*ms, 4).Lent, "other owners go on")
-	l.Tick(2*ms + unledPause)
+	l.Tick(2*ms + leaderlessPause)
 	assert.True(t, take(l)[2].Lent, "it is asked again later")
 }
--- a/node/cell/desk.go
+++ b/node/cell/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,18 +28,18 @@
 	// coldShare is this VM's part of the rate of a cold target.
 	coldShare float64
 
-	mu      sync.Mutex
-	lender  *lending.Lender
-	waiters map[uint64]chan lending.Decision
-	keys    *keyspace.Manager // nil if the service has no keys or the desk does not lead
-	unled   *lending.Unled    // of a desk that does not lead
-	load    *keyspace.Load
-	seen    uint64 // version of the view that the targets were taken from
-	lastID  *atomic.Uint64
-	wake    chan struct{}
-	recall  chan struct{} // closed when those that wait are to ask elsewhere
-	closed  chan struct{} // closed when the desk decides no more
-	closing sync.Once
+	mu         sync.Mutex
+	lender     *lending.Lender
+	waiters    map[uint64]chan lending.Decision
+	keys       *keyspace.Manager   // nil if the service has no keys or the desk does not lead
+	leaderless *lending.Leaderless // of a desk that does not lead
+	load       *keyspace.Load
+	seen       uint64 // version of the view that the targets were taken from
+	lastID     *atomic.Uint64
+	wake       chan struct{}
+	recall     chan struct{} // closed when those that wait are to ask elsewhere
+	closed     chan struct{} // closed when the desk decides no more
+	closing    sync.Once
 }
 
 // errClosed means that a desk decides no more: another VM leads.
@@ -49,7 +50,7 @@
 		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
 		logger:  s.logger.With("service", service),
 		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
-		recall: make(chan struct{}), closed: make(chan struct{}), unled: lending.NewUnled(s.started, hold),
+		recall: make(chan struct{}), closed: make(chan struct{}), leaderless: lending.NewLeaderless(s.started, hold),
 	}
 	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
 	return d
@@ -73,19 +74,20 @@
 	if owner == "" {
 		return lending.Ownership{State: lending.Lost, Wait: hold}
 	}
-	return d.unled.Owner(now, owner, processEnded(d.view, c))
+	return d.leaderless.Owner(now, owner, processEnded(d.view, c))
 }
 
+// recordedOwner returns the owner of a key in a record, or "". The record's
+// ranges are in the order of their keys.
 func recordedOwner(c *fleet.Cell, key int) string {
 	if c == nil {
 		return ""
 	}
-	for i := range c.Keys {
-		if a := &c.Keys[i]; a.From <= key && key <= a.To {
-			return a.Owner.Target
-		}
+	i := sort.Search(len(c.Keys), func(i int) bool { return key <= c.Keys[i].To })
+	if i == len(c.Keys) || key < c.Keys[i].From {
+		return ""
 	}
-	return ""
+	return c.Keys[i].Owner.Target
 }
 
 // ask waits for the decision on a request. When ctx ends first, a slot that is
@@ -133,9 +135,9 @@
 // close ends the wait of all requests.
 func (d *desk) close() { d.closing.Do(func() { close(d.closed) }) }
 
-// sendOn ends the wait of all requests, which ask a leader then. The desk goes on
+// recallWaiting ends the wait of all requests, which ask a leader then. The desk goes on
 // to count what it has lent.
-func (d *desk) sendOn() {
+func (d *desk) recallWaiting() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lender.Waiting() > 0 {
@@ -215,7 +217,7 @@
 		d.keys.WrongOwner(now, key, target)
 		return
 	}
-	d.unled.WrongOwner(now, target)
+	d.leaderless.WrongOwner(now, target)
 }
 
 // tick advances the lender.
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -201,7 +201,7 @@
 	s.claims.Inc(1)
 	go s.tellAll(svc.Name)
 	if l := s.leadOf(svc.Name); l != nil && l.keys != nil && r != nil {
-		go l.settleBefore(r)
+		go l.watchFormerLeader(r)
 	}
 }
 
@@ -367,7 +367,7 @@
 func (s *Service) tickSolos() {
 	for service, d := range s.solosNow() {
 		if vm, _, ok := s.acting(service); ok && s.heardLately(vm.ID, vm.Boot) {
-			d.sendOn()
+			d.recallWaiting()
 		}
 		d.tick()
 	}
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -206,20 +206,20 @@
 // that did not answer are suspended or start again, mostly for seconds.
 const promisePause = 500 * time.Millisecond
 
-// settleBefore lowers the bound up to which grants of the leader before are
+// watchFormerLeader lowers the bound up to which grants of the leader before are
 // believed to hold: when its process is known to have ended, and when most VMs
 // have promised to leave it that had not answered before the claim. Until then
 // keys of holders that do not answer wait, and no keys move for the load's sake.
-func (l *lead) settleBefore(r *promises) {
+func (l *lead) watchFormerLeader(r *promises) {
 	began, most := l.now(), l.s.fromMost(r)
-	for l.boundLeft() > 0 {
+	for l.formerGrantsLeft() > 0 {
 		select {
 		case <-l.closed:
 			return
 		case <-time.After(promisePause):
 		}
 		if processEnded(l.view, r.record) {
-			l.rebound(r, l.now(), "its process has ended")
+			l.lowerFormerBound(r, l.now(), "its process has ended")
 			return
 		}
 		if most {
@@ -227,23 +227,23 @@
 		}
 		l.s.askToRelease(l.s.ctx, r)
 		if most = l.s.fromMost(r); most {
-			l.rebound(r, max(began+authority, l.now()+r.left), "most VMs have promised to leave it")
+			l.lowerFormerBound(r, max(began+authority, l.now()+r.left), "most VMs have promised to leave it")
 		}
 	}
 }
 
-// boundLeft returns for how long grants of the leader before may still hold.
-func (l *lead) boundLeft() time.Duration {
+// formerGrantsLeft returns for how long grants of the leader before may still hold.
+func (l *lead) formerGrantsLeft() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.keys.Bound() - l.now()
+	return l.keys.FormerBound() - l.now()
 }
 
-// rebound tells the keys that the leader before has no authority from a time on.
-func (l *lead) rebound(r *promises, authorityEnds time.Duration, why string) {
+// lowerFormerBound tells the keys that the leader before has no authority from a time on.
+func (l *lead) lowerFormerBound(r *promises, authorityEnds time.Duration, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now, bound := l.now(), authorityEnds+afterAuthority()
-	l.keys.Rebound(now, bound)
+	l.keys.LowerFormerBound(now, bound)
 	l.logger.Info("grants of the leader before end", "leader", r.record.Leader, "boot", r.record.Boot, "within", bound-now, "why", why)
 }
--- a/node/cell/support_test.go
+++ b/node/cell/support_test.go
@@ -103,5 +103,5 @@
 	_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(again.ID), VM: &again}, view.Anywhere)
 	require.NoError(t, err)
 	l := next.leadOf("s")
-	require.Eventually(t, func() bool { return l.boundLeft() <= afterAuthority() }, authority/2, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return l.formerGrantsLeft() <= afterAuthority() }, authority/2, 10*time.Millisecond)
 }
