core/keyspace: wait for unanswered grants of ranges that were merged or moved meanwhile

Cause: the result of a grant was applied only to ranges within that of the call, and only to holds with its fence. A renewal that stayed unanswered while its range was merged (new fence) and a part of it moved left no trace: the holder released the new fence, the next owner got its grant, and the late renewal then took effect at the first (TestNeverTwoHolders). Found on the way: a range whose owner had seen a higher fence and left the candidates in the same plan got its next owner without naming the first as prior holder. maxHold took Hold*(1+e) for a clock that is slow by e; it is Hold/(1-e). Change: a grant without an answer extends the holds of its holder in all ranges that it overlaps, whatever their fence; the superseded range keeps its fence until it is reassigned; the model's clocks run at 0.98.

--- a/core/keyspace/balance.go
+++ b/core/keyspace/balance.go
@@ -107,10 +107,11 @@
 }
 
 // renewSupersededFences requests a new fence for each range whose owner has
-// seen a higher fence than that of the range.
+// seen a higher fence than that of the range. A range whose owner is not a candidate
+// keeps its fence, under which reassignUnowned records the owner as a prior holder.
 func (pl *planner) renewSupersededFences() {
 	for _, p := range pl.ranges {
-		if p.superseded {
+		if p.superseded && pl.byHolder[p.Owner] != nil {
 			p.Fence, p.superseded, p.accepted = 0, false, false
 			pl.changed = true
 		}
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -74,7 +74,7 @@
 	}
 	p.sentAt = now
 	heldUntilBefore := p.heldUntil
-	p.heldUntil = max(p.heldUntil, now+m.cfg.maxHoldSinceSend())
+	p.heldUntil = max(p.heldUntil, now+m.cfg.MaxHoldSinceSend())
 	return m.registerCall(now, p, Action{Kind: Grant, Holder: p.Owner, Fence: p.Fence, Handover: p.handover}, heldUntilBefore), true
 }
 
@@ -91,8 +91,10 @@
 }
 
 // ReportResult ends a call with its result, which applies to the ranges that lie
-// within that of the call. handover is the holder's answer to a release and is passed
-// on to the next owner. Unknown IDs are ignored.
+// within that of the call. A grant without an answer also applies to the ranges that
+// only overlap it, after a merge or a move since it was sent: it may still give its
+// holder the keys that they share. handover is the holder's answer to a release and
+// is passed on to the next owner. Unknown IDs are ignored.
 func (m *Manager) ReportResult(now time.Duration, id uint64, result CallResult, handover string) {
 	c, ok := m.calls[id]
 	if !ok {
@@ -102,6 +104,12 @@
 	c.done = true
 	m.recordReachability(now, c, result)
 	for _, p := range m.ranges {
+		if p.To < c.From || p.From > c.To {
+			continue
+		}
+		if c.Kind == Grant && result == NoAnswer {
+			p.extendHolds(c.Holder, c.sent+m.cfg.MaxHoldSinceSend())
+		}
 		if p.From < c.From || p.To > c.To {
 			continue
 		}
@@ -132,10 +140,6 @@
 // returns to its value before the call, unless it has changed since, but not to
 // below uncertainUntil.
 func (p *keyRange) grantDone(now time.Duration, c *call, result CallResult, cfg Config) {
-	if p.Owner == c.Holder && result == NoAnswer {
-		p.uncertainUntil = max(p.uncertainUntil, c.sent+cfg.maxHoldSinceSend())
-		p.heldUntil = max(p.heldUntil, p.uncertainUntil)
-	}
 	if p.Owner != c.Holder || p.Fence != c.Fence {
 		p.priorGrantDone(now, c, result, cfg)
 		return
@@ -150,7 +154,7 @@
 	case Ended:
 		p.granted = false
 	case NotSent:
-		if p.heldUntil == c.sent+cfg.maxHoldSinceSend() {
+		if p.heldUntil == c.sent+cfg.MaxHoldSinceSend() {
 			p.heldUntil = max(c.heldUntilBefore, p.uncertainUntil)
 		}
 		p.granted = p.granted && now < p.heldUntil
@@ -163,16 +167,32 @@
 // fence of the range changed: it updates how long the prior holder may hold the
 // range under the fence of the call.
 func (p *keyRange) priorGrantDone(now time.Duration, c *call, result CallResult, cfg Config) {
+	if result != Accepted {
+		return
+	}
 	for i := range p.prior {
 		h := &p.prior[i]
-		if h.Holder != c.Holder || h.Fence != c.Fence {
-			continue
-		}
-		switch result {
-		case Accepted:
+		switch {
+		case h.Hold == Hold{Holder: c.Holder, Fence: c.Fence}:
 			h.heldUntil = max(now+cfg.maxHold(), h.uncertainUntil)
-		case NoAnswer:
-			h.uncertainUntil = max(h.uncertainUntil, c.sent+cfg.maxHoldSinceSend())
+		case h.Holder == c.Holder:
+			h.heldUntil = max(h.heldUntil, now+cfg.maxHold())
+		}
+	}
+}
+
+// extendHolds records that a holder may hold the range until the given time, as its
+// owner or as a prior holder, although it has released the range meanwhile. The
+// fence does not matter: the holder rejects a grant only if it has seen a higher
+// fence, and it may not have received the grant with the range's present one.
+func (p *keyRange) extendHolds(holder Holder, until time.Duration) {
+	if p.Owner == holder {
+		p.uncertainUntil = max(p.uncertainUntil, until)
+		p.heldUntil = max(p.heldUntil, p.uncertainUntil)
+	}
+	for i := range p.prior {
+		if h := &p.prior[i]; h.Holder == holder {
+			h.uncertainUntil = max(h.uncertainUntil, until)
 			h.heldUntil = max(h.heldUntil, h.uncertainUntil)
 		}
 	}
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -9,6 +9,7 @@
 package keyspace
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -87,12 +88,12 @@
 // maxHold returns the longest time that a grant is in effect after its arrival,
 // on a target whose clock runs slow by ClockError.
 func (c Config) maxHold() time.Duration {
-	return time.Duration(float64(c.Hold) * (1 + c.ClockError))
+	return time.Duration(math.Ceil(float64(c.Hold) / (1 - c.ClockError)))
 }
 
-// maxHoldSinceSend returns the time after sending a grant at which it is certain
+// MaxHoldSinceSend returns the time after sending a grant at which it is certain
 // to have expired.
-func (c Config) maxHoldSinceSend() time.Duration {
+func (c Config) MaxHoldSinceSend() time.Duration {
 	return c.CallTimeout + c.maxHold()
 }
 
@@ -175,7 +176,7 @@
 // expiry of a grant sent now is raised to that expiry, so that it also covers the
 // grants that this manager has sent.
 func (m *Manager) LowerPriorManagerHoldBound(now, bound time.Duration) {
-	bound = max(bound, now+m.cfg.maxHoldSinceSend())
+	bound = max(bound, now+m.cfg.MaxHoldSinceSend())
 	if bound >= m.priorManagerHoldBound {
 		return
 	}
@@ -224,7 +225,7 @@
 	p := m.rangeOf(key)
 	switch {
 	case p.Owner.Target == "":
-		return p.Owner, Lost, m.cfg.maxHoldSinceSend()
+		return p.Owner, Lost, m.cfg.MaxHoldSinceSend()
 	case len(p.prior) == 0 && p.granted:
 		return p.Owner, Held, 0
 	case m.waitsForUnreachable(p):
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -83,7 +83,7 @@
 	_, ok := m.Propose(time.Millisecond, candidates(survivor), &Load{})
 	require.True(t, ok)
 	m.Committed(0, 2)
-	end := time.Duration(float64(testHold) * 1.02)
+	end := testHold * 100 / 98
 	for now := 2 * time.Millisecond; now < end; now += 50 * time.Millisecond {
 		for _, a := range m.Step(now, alwaysMayRun) {
 			require.False(t, a.Kind == Grant && a.From == 0, "granted at %s while %s may hold the key", now, owner.Target)
@@ -146,7 +146,7 @@
 	late := New(testConfig(), before.Assignments(), assumed)
 	late.Step(5*time.Second, alwaysMayRun) // sends grants that stay unanswered
 	late.LowerPriorManagerHoldBound(5*time.Second, learned)
-	assert.Equal(t, 5*time.Second+testConfig().maxHoldSinceSend(), late.ranges[0].heldUntil)
+	assert.Equal(t, 5*time.Second+testConfig().MaxHoldSinceSend(), late.ranges[0].heldUntil)
 }
 
 // completeAndGetOwner completes the calls that are due, those to the unreachable
@@ -161,3 +161,76 @@
 	}
 	return m.Owner(now, 0)
 }
+
+// Guards against two holders of a key after a grant that stays unanswered while its
+// range is merged with a neighbour and a part of the merged range moves away: the
+// grant may still take effect at its holder, which has released the newer fence.
+func TestUnansweredGrantIsWaitedForAfterMergeAndMove(t *testing.T) {
+	m := newManagerWithOwners(t, "a", "b")
+	a, b := Holder{"a", 1}, Holder{"b", 1}
+	m.ranges = []*keyRange{
+		{Assignment: Assignment{From: 0, To: 99, Owner: a, Fence: 1}, granted: true, accepted: true},
+		{Assignment: Assignment{From: 100, To: Keys - 1, Owner: a, Fence: 1}, granted: true, accepted: true},
+	}
+	const sent = 10 * time.Second
+	var unanswered []Action
+	for _, call := range m.Step(sent, alwaysMayRun) {
+		require.Equal(t, Grant, call.Kind)
+		unanswered = append(unanswered, call)
+	}
+	require.Len(t, unanswered, 2)
+
+	merged := m.ranges[0].copy()
+	merged.To, merged.Fence, merged.accepted = Keys-1, 0, false
+	merged.calls = append(merged.calls, m.ranges[1].calls...)
+	m.pending = &proposal{[]*keyRange{merged}}
+	m.Committed(sent, 2)
+
+	pl := newPlanner(m, sent, candidates("a", "b"), &Load{})
+	pl.split(pl.ranges[0], 49)
+	pl.assign(pl.ranges[1], pl.byHolder[b]) // 50 to the last key: overlaps both calls, lies within neither
+	m.pending = &proposal{pl.ranges}
+	m.Committed(sent, 3)
+
+	timedOut := sent + testTimeout
+	for _, call := range unanswered {
+		m.ReportResult(timedOut, call.ID, NoAnswer, "")
+	}
+	expiry := timedOut + testHold*100/98
+	for now := timedOut; now < expiry; now += 20 * time.Millisecond {
+		for _, call := range m.Step(now, alwaysMayRun) {
+			require.False(t, call.Kind == Grant && call.Holder == b, "granted to b at %s while a may hold the keys", now)
+			m.ReportResult(now, call.ID, Accepted, "h")
+		}
+	}
+	completeDueCalls(m, expiry+time.Millisecond, Accepted)
+	owner, state, _ := m.Owner(expiry+time.Millisecond, 50)
+	assert.Equal(t, b, owner)
+	assert.Equal(t, Held, state)
+}
+
+// Guards against two holders of a key when an owner that has seen a higher fence
+// leaves the candidates: it may still hold its keys by an earlier grant, so the next
+// owner waits for it.
+func TestSupersededOwnerThatLeavesIsWaitedFor(t *testing.T) {
+	m := newManagerWithOwners(t, "a", "b")
+	owner, _, _ := m.Owner(0, 0)
+	survivor := "b"
+	if owner.Target == "b" {
+		survivor = "a"
+	}
+	const renewed = time.Second
+	for _, call := range m.Step(renewed, alwaysMayRun) {
+		result := Accepted
+		if call.Holder == owner {
+			result = Superseded
+		}
+		m.ReportResult(renewed, call.ID, result, "")
+	}
+	_, ok := m.Propose(renewed, candidates(survivor), &Load{})
+	require.True(t, ok)
+	m.Committed(renewed, 2)
+	for _, call := range m.Step(renewed, alwaysMayRun) {
+		require.False(t, call.Kind == Grant && call.From == 0, "granted while %s may hold the key", owner.Target)
+	}
+}
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -166,7 +166,7 @@
 		return Accepted
 	}
 	// The target's clock may run 2 % slow; a grant's duration counts from its arrival.
-	return g.grant(c.arrivesAt, c.action, time.Duration(float64(testHold)*1.02))
+	return g.grant(c.arrivesAt, c.action, testHold*100/98)
 }
 
 // send sends the due calls of a manager; some are lost or applied late.
@@ -252,7 +252,7 @@
 		m.replaceLeader()
 	case 7:
 		if m.deposed != nil { // the new leader learns when the deposed leader's authority ends
-			m.manager.LowerPriorManagerHoldBound(m.now, m.deposedUntil+testConfig().maxHoldSinceSend())
+			m.manager.LowerPriorManagerHoldBound(m.now, m.deposedUntil+testConfig().MaxHoldSinceSend())
 		}
 	case 5, 6:
 		if m.commitAt == 0 {
@@ -293,7 +293,7 @@
 	if rapid.Bool().Draw(m.t, "without a majority of releases") {
 		assumed = modelExtension
 	}
-	m.manager = New(testConfig(), m.manager.Assignments(), m.now+assumed+testConfig().maxHoldSinceSend())
+	m.manager = New(testConfig(), m.manager.Assignments(), m.now+assumed+testConfig().MaxHoldSinceSend())
 	m.manager.TakeOver()
 	m.fence++
 	m.manager.Committed(m.now, m.fence)
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -125,11 +125,8 @@
 }
 
 // maxHoldAfterLease returns how long a target may hold keys after the lease of the
-// leader that granted them has ended. The last grant may be in flight for callTimeout,
-// and lasts for holdDuration by a clock that may run slow by clockError.
-func maxHoldAfterLease() time.Duration {
-	return callTimeout + time.Duration(float64(holdDuration)*(1+clockError))
-}
+// leader that granted them has ended: the last grant may have been sent right before.
+func maxHoldAfterLease() time.Duration { return keyConfig().MaxHoldSinceSend() }
 
 // resolveFences returns the assignments of a record with their fencing tokens.
 // Assignments that the record itself introduces are stored with fence 0, since
