Contain a panic in the request, call, exchange or cell that it happens in

Cause: net/rpc does not recover from panics, and neither do the goroutines of a cell. A call for a slot with a key beyond the key space, or a change of a log that does not exist, ended the process (index out of range). Change: node/panics counts and logs a panic with its stack and ends that step alone: RPCs, exchanges of views, reads of the store, grants and releases (then without an answer), steps of a leadership, claims. Keys and logs in calls of other VMs are checked. Parts that hold a lock unlock it by defer.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -61,7 +61,8 @@
 }
 
 // Act makes this VM the deputy of the calling leader.
-func (h *handler) Act(a ActArgs, reply *ActReply) error {
+func (h *handler) Act(a ActArgs, reply *ActReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Act")
 	s := h.s
 	if err := s.view.Learn(a.Record); err != nil {
 		return err
@@ -99,7 +100,8 @@
 }
 
 // Deputy records that another VM has become a deputy, and applies the leader's record.
-func (h *handler) Deputy(a DeputyArgs, _ *struct{}) error {
+func (h *handler) Deputy(a DeputyArgs, _ *struct{}) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Deputy")
 	h.s.noteDeputy(a)
 	return h.s.view.Learn(a.Record)
 }
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -226,19 +226,21 @@
 }
 
 // Reach tells whether this VM reaches the store and may lead cells.
-func (h *handler) Reach(_ ReachArgs, reply *ReachReply) error {
+func (h *handler) Reach(_ ReachArgs, reply *ReachReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Reach")
 	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
 	defer cancel()
-	err := h.s.readSystem(ctx)
-	reply.Reaches = err == nil && !h.s.retiring.Load()
-	if err != nil {
-		h.s.logger.Info("could not read the store on behalf of a leader that asked whether this VM reaches it", "error", err)
+	readErr := h.s.readSystem(ctx)
+	reply.Reaches = readErr == nil && !h.s.retiring.Load()
+	if readErr != nil {
+		h.s.logger.Info("could not read the store on behalf of a leader that asked whether this VM reaches it", "error", readErr)
 	}
 	return nil
 }
 
 // Take makes this VM the leader of a cell in place of the calling one.
-func (h *handler) Take(a TakeArgs, reply *TakeReply) error {
+func (h *handler) Take(a TakeArgs, reply *TakeReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Take")
 	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
 	defer cancel()
 	endClaim, svc, err := h.s.prepareTake(ctx, a)
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -7,6 +7,7 @@
 
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
@@ -108,27 +109,9 @@
 	if l.keys != nil {
 		go l.supportLoop(ctx)
 	}
-	nextKeys, nextPlan, nextSummary := l.now(), l.now(), l.now()+summaryInterval
+	due := dueTimes{keys: l.now(), plan: l.now(), summary: l.now() + summaryInterval}
 	for {
-		pause := l.tick()
-		if now := l.now(); l.keys != nil && now >= nextKeys {
-			l.stepKeys(ctx)
-			nextKeys = now + keyStepInterval
-			if now >= nextPlan {
-				l.plan(ctx)
-				if l.commitOverdue() {
-					go l.tryHandover(ctx)
-				}
-				nextPlan = now + planInterval
-			}
-		}
-		if now := l.now(); now >= nextSummary {
-			l.summarize(now)
-			nextSummary = now + summaryInterval
-		}
-		if l.keys != nil {
-			pause = min(pause, keyStepInterval)
-		}
+		pause := l.step(ctx, &due)
 		select {
 		case <-ctx.Done():
 			return
@@ -143,16 +126,40 @@
 	}
 }
 
+// dueTimes holds when a leadership does its periodic work next.
+type dueTimes struct{ keys, plan, summary time.Duration }
+
+// step does the work of a leadership that is due and returns the time until the next
+// step.
+func (l *leadership) step(ctx context.Context, due *dueTimes) (pause time.Duration) {
+	pause = keyStepInterval
+	defer l.s.guard.Recover("lend slots and manage the keys of a cell", "service", l.service)
+	pause = l.tick()
+	if now := l.now(); l.keys != nil && now >= due.keys {
+		due.keys = now + keyStepInterval
+		l.stepKeys(ctx)
+		if now >= due.plan {
+			due.plan = now + planInterval
+			l.plan(ctx)
+			if l.commitOverdue() {
+				go l.tryHandover(ctx)
+			}
+		}
+	}
+	if now := l.now(); now >= due.summary {
+		due.summary = now + summaryInterval
+		l.summarize(now)
+	}
+	if l.keys != nil {
+		pause = min(pause, keyStepInterval)
+	}
+	return pause
+}
+
 // summarize logs counts of what the Lender did since the last call, unless it did
 // nothing. In an overload most lines of single refusals exceed the log's rate limit.
 func (l *leadership) summarize(now time.Duration) {
-	l.mu.Lock()
-	c := l.lender.TakeCounts(now)
-	var keys keyspace.Counts
-	if l.keys != nil {
-		keys = l.keys.Counts(now)
-	}
-	l.mu.Unlock()
+	c, keys := l.counts(now)
 	if c.Lent == 0 && len(c.Refused) == 0 {
 		return
 	}
@@ -161,6 +168,16 @@
 		"keys_without_owner", keys.KeysLost, "unwritten", keys.Pending)
 }
 
+// counts returns the counts of the Lender since the last call and those of the keys.
+func (l *leadership) counts(now time.Duration) (c lending.Counts, keys keyspace.Counts) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keys != nil {
+		keys = l.keys.Counts(now)
+	}
+	return l.lender.TakeCounts(now), keys
+}
+
 // supportLoop renews the support of the other VMs until ctx ends.
 func (l *leadership) supportLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -200,19 +217,24 @@
 	if l.mayGrant() != nil {
 		return
 	}
-	l.mu.Lock()
-	actions := l.keys.Step(l.now(), l.alive)
-	l.mu.Unlock()
-	for _, a := range actions {
+	for _, a := range l.dueCalls() {
 		go l.perform(ctx, a)
 	}
 }
 
+func (l *leadership) dueCalls() []keyspace.Action {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.keys.Step(l.now(), l.alive)
+}
+
 // alive reports whether the process of a target that holds keys may still run.
 func (l *leadership) alive(h keyspace.Holder) bool { return l.view.Alive(h.Target, h.Life) }
 
 // perform sends one grant or release to its target and reports the result.
 func (l *leadership) perform(ctx context.Context, a keyspace.Action) {
+	defer l.s.guard.RecoverThen(func() { l.finish(a, keyspace.NoAnswer, "", errors.New("the call ended with a panic")) },
+		"grant or release keys", "service", l.service, "target", a.Holder.Target)
 	address, ok := l.view.Address(a.Holder.Target)
 	if !ok {
 		l.finish(a, keyspace.NotSent, "", errors.New("the address of the target is unknown"))
@@ -237,17 +259,22 @@
 // finish reports the result of a call to the key manager and delivers the decisions
 // on requests that waited for it.
 func (l *leadership) finish(a keyspace.Action, result keyspace.CallResult, handover string, err error) {
-	l.mu.Lock()
-	l.keys.ReportResult(l.now(), a.ID, result, handover)
-	l.lender.Tick(l.now())
-	l.deliver()
-	l.mu.Unlock()
+	l.report(a, result, handover)
 	if err != nil || a.Kind == keyspace.Release {
 		l.logger.Info("key range released, or grant failed", "kind", a.Kind.String(), "target", a.Holder.Target, "from", a.From, "to", a.To, "fence", a.Fence,
 			"result", result.String(), "error", err)
 	}
 }
 
+// report is the part of finish that is done with mu held.
+func (l *leadership) report(a keyspace.Action, result keyspace.CallResult, handover string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.keys.ReportResult(l.now(), a.ID, result, handover)
+	l.lender.Tick(l.now())
+	l.deliver()
+}
+
 // plan proposes new key assignments and starts to write them to the store, if the
 // store has confirmed the leadership recently. A deputy instead tries to become the
 // leader.
@@ -259,17 +286,21 @@
 		go l.claimAsDeputy(ctx)
 		return
 	}
+	if assignments, change := l.propose(); change {
+		go l.commit(ctx, assignments)
+	}
+}
+
+// propose returns the assignments that are to be written next, if they change.
+func (l *leadership) propose() (assignments []keyspace.Assignment, change bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := l.now()
 	l.load.Decay(now)
-	assignments, change := l.keys.Propose(now, l.ownerCandidates(now), l.load)
-	if change {
+	if assignments, change = l.keys.Propose(now, l.ownerCandidates(now), l.load); change {
 		l.proposedAt = now
 	}
-	l.mu.Unlock()
-	if change {
-		go l.commit(ctx, assignments)
-	}
+	return assignments, change
 }
 
 // ownerCandidates returns the targets to which keys can be assigned, with their
--- a/node/cell/lenderdriver.go
+++ b/node/cell/lenderdriver.go
@@ -97,9 +97,30 @@
 // early if ctx ends, or with errAskLeader; a slot that is lent later is then returned
 // unused.
 func (d *lenderDriver) requestSlot(ctx context.Context, a LendArgs) (lending.Decision, error) {
+	decision, redirect := d.submit(a)
+	select {
+	case dec := <-decision:
+		d.logDecision(a, dec)
+		return dec, nil
+	case <-redirect:
+		go d.returnUnused(decision)
+		return lending.Decision{}, errAskLeader
+	case <-d.closed:
+		go d.returnUnused(decision)
+		return lending.Decision{}, errAskLeader
+	case <-ctx.Done():
+		go d.returnUnused(decision)
+		return lending.Decision{}, ctx.Err()
+	}
+}
+
+// submit submits a request to the Lender and wakes leadership.run if requests wait.
+// decision gets the decision; redirect is closed if the leader has to be asked instead.
+func (d *lenderDriver) submit(a LendArgs) (decision chan lending.Decision, redirect <-chan struct{}) {
 	id := d.lastID.Add(1)
-	decision := make(chan lending.Decision, 1)
+	decision = make(chan lending.Decision, 1)
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	now := d.now()
 	d.refresh(now)
 	d.waiters[id] = decision
@@ -112,28 +133,13 @@
 		Key: a.Key, Retry: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Print,
 	})
 	d.deliver()
-	waits, redirect := d.lender.Waiting() > 0, d.redirect
-	d.mu.Unlock()
-	if waits {
+	if d.lender.Waiting() > 0 {
 		select {
 		case d.wake <- struct{}{}:
 		default:
 		}
 	}
-	select {
-	case dec := <-decision:
-		d.logDecision(a, dec)
-		return dec, nil
-	case <-redirect:
-		go d.returnUnused(decision)
-		return lending.Decision{}, errAskLeader
-	case <-d.closed:
-		go d.returnUnused(decision)
-		return lending.Decision{}, errAskLeader
-	case <-ctx.Done():
-		go d.returnUnused(decision)
-		return lending.Decision{}, ctx.Err()
-	}
+	return decision, d.redirect
 }
 
 // close makes all waiting requests, now and later, return errAskLeader.
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
@@ -14,7 +15,11 @@
 
 // Lend decides on a request for a slot. If this VM does not lead the cell, the reply
 // tells which VM does, as far as known.
-func (h *handler) Lend(a LendArgs, reply *LendReply) error {
+func (h *handler) Lend(a LendArgs, reply *LendReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Lend")
+	if a.Key != lending.NoKey && (a.Key < 0 || a.Key >= keyspace.Keys) {
+		return errors.Errorf("request %s of VM %s: the key %d is out of range", a.RequestID, a.VM, a.Key)
+	}
 	l := h.s.currentLeadership(a.Service)
 	if l == nil {
 		h.s.redirectToLeader(a.Service, reply)
@@ -64,10 +69,14 @@
 }
 
 // Tell applies the record of a cell that has a new leader.
-func (h *handler) Tell(a TellArgs, _ *struct{}) error { return h.s.view.Learn(a.Record) }
+func (h *handler) Tell(a TellArgs, _ *struct{}) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Tell")
+	return h.s.view.Learn(a.Record)
+}
 
 // Return takes back a slot that this VM lent, if it still leads the cell.
-func (h *handler) Return(a ReturnArgs, _ *struct{}) error {
+func (h *handler) Return(a ReturnArgs, _ *struct{}) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Return")
 	if l := h.s.leadershipOf(a.Service); l != nil {
 		l.returnSlot(a.Usage)
 	}
@@ -75,7 +84,8 @@
 }
 
 // Sync answers a heartbeat, and adds what the calling VM lacks if Passes is set.
-func (h *handler) Sync(a SyncArgs, reply *SyncReply) error {
+func (h *handler) Sync(a SyncArgs, reply *SyncReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Sync")
 	reply.Boot = h.s.self.Boot
 	if a.Passes {
 		reply.Batch = h.s.view.Since(a.Known)
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -23,6 +23,7 @@
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/panics"
 	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/rcrowley/go-metrics"
@@ -64,6 +65,7 @@
 	peers       *peer.Client
 	retry       RetryLimits
 	logger      hclog.Logger
+	guard       *panics.Guard
 	lastID      atomic.Uint64
 	claims      metrics.Counter
 	localLends  metrics.Counter
@@ -105,6 +107,7 @@
 func New(c Config) (*Service, error) {
 	s := &Service{
 		self: c.Self, view: c.View, store: c.Store, keyCaller: c.KeyCaller, clock: c.Clock, started: c.Clock.Now(), peers: c.Peers, retry: c.Retry, logger: c.Logger,
+		guard:       panics.New(c.Logger, c.Registry),
 		claims:      metrics.GetOrRegisterCounter("cell.claims", c.Registry),
 		localLends:  metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leaderships: map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
@@ -156,6 +159,7 @@
 
 // reconcile brings this VM's leaderships in line with the view, for all cells.
 func (s *Service) reconcile() {
+	defer s.guard.Recover("reconcile the cells with their records")
 	s.reconcileMu.Lock()
 	defer s.reconcileMu.Unlock()
 	if cfg, _ := s.view.Config(); cfg != nil && s.view.Ready() && s.ctx.Err() == nil {
@@ -193,6 +197,7 @@
 // tryClaim claims a cell that has no leader or whose leader seems lost, unless the
 // leader still answers another VM.
 func (s *Service) tryClaim(svc fleet.Service, seen *fleet.Cell) {
+	defer s.guard.Recover("claim a cell", "service", svc.Name)
 	defer func() {
 		s.mu.Lock()
 		delete(s.claiming, svc.Name)
@@ -393,6 +398,7 @@
 // tickLocalLenders advances the Lenders with which this VM lends locally. Requests that
 // wait there are redirected to the cell's leader once it answers.
 func (s *Service) tickLocalLenders() {
+	defer s.guard.Recover("advance the local lenders")
 	for service, d := range s.cloneLocalLenders() {
 		if vm, _, ok := s.currentLeader(service); ok && s.heardRecently(vm.ID, vm.Boot) {
 			d.redirectWaiting()
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -35,7 +35,8 @@
 
 // Support gives a process the support of this VM for one lease if the newest known record
 // of the cell names it as leader, it was not released, and seesOwnRegistration holds.
-func (h *handler) Support(a SupportArgs, reply *SupportReply) error {
+func (h *handler) Support(a SupportArgs, reply *SupportReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Support")
 	c, _ := h.s.view.Cell(a.Service)
 	leading := c != nil && c.Leader == a.Leader && c.Boot == a.Boot && h.s.seesOwnRegistration()
 	h.s.mu.Lock()
@@ -54,7 +55,8 @@
 
 // Release makes this VM stop supporting a process, unless the process or its deputy
 // still answers this VM.
-func (h *handler) Release(a SupportArgs, reply *ReleaseReply) error {
+func (h *handler) Release(a SupportArgs, reply *ReleaseReply) (err error) {
+	defer h.s.guard.RecoverError(&err, "answer the RPC Release")
 	leader, c, known := h.s.currentLeader(a.Service)
 	same := known && c.Leader == a.Leader && c.Boot == a.Boot
 	if same && h.s.heardRecently(leader.ID, leader.Boot) {
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -101,6 +101,7 @@
 // syncWith makes one exchange with a VM, merges the view if it fetched one, and records
 // whether the VM answered.
 func (s *Service) syncWith(vm syncPeer) {
+	defer s.guard.Recover("exchange with a VM", "vm", vm.ID, "peer", vm.PeerAddress)
 	ctx, cancel := context.WithTimeout(s.ctx, syncTimeout)
 	defer cancel()
 	args, began, sent := SyncArgs{VM: s.self.ID, Passes: vm.fetchView}, s.clock.Now(), time.Now()
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/panics"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -77,6 +78,7 @@
 	roles       Roles
 	jitter      time.Duration
 	logger      hclog.Logger
+	guard       *panics.Guard
 	reads       metrics.Counter
 	failedReads metrics.Counter
 	stop        context.CancelFunc
@@ -91,6 +93,7 @@
 func New(self fleet.VM, v *view.View, store view.Store, c *clock.Clock, roles Roles, logger hclog.Logger, registry metrics.Registry) *Feed {
 	return &Feed{
 		self: self, view: v, store: store, clock: c, roles: roles, jitter: jitterOf(self.ID), logger: logger,
+		guard:       panics.New(logger, registry),
 		reads:       metrics.GetOrRegisterCounter("store.reads", registry),
 		failedReads: metrics.GetOrRegisterCounter("store.reads_failed", registry),
 	}
@@ -189,7 +192,8 @@
 
 // read applies what the log gained since the last read, or its newest values if
 // this VM never read it or the store no longer has the records in between.
-func (f *Feed) read(ctx context.Context, l view.Log) error {
+func (f *Feed) read(ctx context.Context, l view.Log) (err error) {
+	defer f.guard.RecoverError(&err, "read a log of the store", "log", l)
 	f.reads.Inc(1)
 	sentAt := f.clock.Now()
 	if from := f.view.End(l); f.view.Staleness(l) < neverRead {
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -29,6 +29,9 @@
 
 // String returns the log's name.
 func (l Log) String() string {
+	if l < 0 || l >= numLogs {
+		return "unknown"
+	}
 	return [...]string{"operators", "targets", "system"}[l]
 }
 
@@ -426,6 +429,9 @@
 // unpackAll unpacks changes in place.
 func unpackAll(changes []Change) error {
 	for i, c := range changes {
+		if c.Log < 0 || c.Log >= numLogs {
+			return errors.Errorf("key %q at offset %d: there is no log %d", c.Key, c.Offset, int(c.Log))
+		}
 		var err error
 		if changes[i], err = unpack(c); err != nil {
 			return errors.Wrapf(err, "key %q at offset %d", c.Key, c.Offset)
