Bound what an answer may take, and tell a late copy of a refusal from an answer

Cause: (1) net/http's ReadResponse reads a head without limit, 1xx answers were skipped without limit, and each body was held up to 16 MiB: 64 targets that send bytes without end took 1.8 GB in 2 s (a VM has 184 MB). (2) A request that its target had refused was sent again on the same connection; a late second copy of the refusal, which bears the same id, was taken for the answer, and a write that ran was answered 503 not-run. A repeat at a target that has answered the request gets a new connection. A panic in the gateway ends the request with outcome unknown.

--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -66,7 +66,19 @@
 	q.recordEnd("unknown: "+reason, status, target, nil)
 }
 
+// answerAfterPanic ends a request in which the gateway panicked. It may have been sent to
+// a target, so its outcome is unknown. If its answer has begun, the connection is closed,
+// since a part of it must not look complete.
+func (q *request) answerAfterPanic() {
+	if q.answering {
+		q.recordEnd("unknown: the router failed", 0, q.avoid, nil)
+		panic(http.ErrAbortHandler)
+	}
+	q.answerUnknown("the router failed", q.avoid)
+}
+
 func (q *request) writeProblem(status int, p problem) {
+	q.answering = true
 	body, err := json.Marshal(p)
 	if err != nil {
 		body = nil // cannot happen: the struct holds only strings
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mangogate/mangogate/core/quarantine"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
+	"github.com/mangogate/mangogate/node/panics"
 	"github.com/mangogate/mangogate/node/upstream"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/rcrowley/go-metrics"
@@ -84,6 +85,7 @@
 	targets    *upstream.Client
 	clock      *clock.Clock
 	logger     hclog.Logger
+	guard      *panics.Guard
 	closing    atomic.Bool
 	active     atomic.Int64
 	stats      *stats
@@ -104,7 +106,7 @@
 func New(c Config) *Gateway {
 	return &Gateway{
 		vm: c.VM.ID, dataCentre: c.VM.DataCentre, codec: c.Codec, view: c.View, cells: c.Cells, targets: c.Targets,
-		clock: c.Clock, logger: c.Logger, stats: newStats(c.Registry),
+		clock: c.Clock, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
 	}
 }
 
@@ -124,8 +126,10 @@
 	deadline      time.Duration // clock reading
 	fingerprint   quarantine.Fingerprint
 	attempts      int
-	mayHaveRun    bool   // a target may have run an earlier attempt
-	avoid         string // target of the last attempt, which the next one avoids
+	mayHaveRun    bool            // a target may have run an earlier attempt
+	answering     bool            // the answer to the caller has begun
+	answeredBy    map[string]bool // targets that answered an earlier attempt
+	avoid         string          // target of the last attempt, which the next one avoids
 }
 
 // ServeHTTP implements http.Handler.
@@ -136,6 +140,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{g: g, w: w, r: r, arrived: g.clock.Now()}
+	defer g.guard.RecoverThen(q.answerAfterPanic, "serve a request", "method", r.Method, "path", r.URL.Path)
 	meta, err := g.codec.Request(r.Header)
 	q.Meta = meta
 	cfg, table := g.view.Config()
@@ -315,10 +320,16 @@
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
 		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
+		NewConnection: q.answeredBy[slot.Target],
 	})
 	if err != nil {
 		return q.handleSendError(slot, err)
 	}
+	defer answer.Release()
+	if q.answeredBy == nil {
+		q.answeredBy = map[string]bool{}
+	}
+	q.answeredBy[slot.Target] = true
 	info := q.g.codec.FromTarget(answer.Status, answer.Header)
 	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Load: info.Load}
 	switch {
@@ -424,6 +435,7 @@
 	if bodyAllowed(q.r.Method, a.Status) {
 		h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
 	}
+	q.answering = true
 	q.w.WriteHeader(a.Status)
 	_, err := q.w.Write(a.Body)
 	if !bodyAllowed(q.r.Method, a.Status) {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,7 +44,11 @@
 }
 
 func (fakeCodec) FromTarget(status int, h http.Header) AnswerInfo {
-	return AnswerInfo{NotRun: h.Get("Not-Run") != "", WrongOwner: status == http.StatusMisdirectedRequest}
+	info := AnswerInfo{NotRun: h.Get("Not-Run") != "", WrongOwner: status == http.StatusMisdirectedRequest}
+	if slots, err := strconv.Atoi(h.Get("Slots")); err == nil {
+		info.Load = &lending.LoadReport{Slots: slots}
+	}
+	return info
 }
 
 func (fakeCodec) Refuse(h http.Header, _ Meta, after time.Duration) {
@@ -218,3 +223,35 @@
 	assert.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
 	assert.Zero(t, target.requests.Load())
 }
+
+// Guards against a write that runs although its caller is told that it did not: a target
+// sends a second copy of its refusal, late, when the same write was sent to it again on
+// the same connection, where the copy looks like the answer.
+func TestLateCopyOfRefusalIsNotTheAnswerToTheRepeat(t *testing.T) {
+	const refusal = "503 Service Unavailable"
+	var ran atomic.Int32
+	requestsOn := map[string]int{} // by connection; each is served by one goroutine, and requests come one after the other
+	var mu sync.Mutex
+	target := startTarget(t, func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		requestsOn[c.RemoteAddr().String()]++
+		n, total := requestsOn[c.RemoteAddr().String()], 0
+		for _, k := range requestsOn {
+			total += k
+		}
+		mu.Unlock()
+		if total == 1 {
+			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "")
+			return
+		}
+		ran.Add(1)
+		if n > 1 {
+			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "") // the copy
+		}
+		respond(c, r, "200 OK", "", "ran")
+	})
+	s := newGateway(t, true, target)
+	resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+	assert.EqualValues(t, 1, ran.Load(), "runs of the write")
+	assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+}
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -25,7 +25,12 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-const bootIDBytes = 6
+const (
+	bootIDBytes = 6
+	// keyCallAnswerMemory is the upstream.Client.AnswerMemory, in bytes, of the client
+	// for grants and releases, whose answers are small.
+	keyCallAnswerMemory = 1 << 20
+)
 
 // Settings are the settings that a VM needs before it can read the store.
 type Settings struct {
@@ -37,8 +42,10 @@
 	Peers      string  // listen address for other VMs
 	Metrics    string  // listen address for metrics; "" disables it
 	PeerKey    []byte  // key that all VMs of the deployment share
-	Drain      gateway.Drain
-	Retry      cell.RetryLimits
+	// AnswerMemory limits the memory, in bytes, for large answers of targets.
+	AnswerMemory int64
+	Drain        gateway.Drain
+	Retry        cell.RetryLimits
 }
 
 // Adapter provides the parts that depend on the platform on which the router
@@ -86,7 +93,7 @@
 	// connections.
 	client.LocalAddr, client.Options = local, peer.Options{Connections: 1, NoPings: true}
 	cells, err := cell.New(cell.Config{
-		Self: self, View: v, Store: store, KeyCaller: a.KeyCaller(r.newTargetClient(local)), Clock: c, Peers: client, Server: server,
+		Self: self, View: v, Store: store, KeyCaller: a.KeyCaller(r.newTargetClient(local, keyCallAnswerMemory)), Clock: c, Peers: client, Server: server,
 		Retry: s.Retry, Logger: r.logger.Named("cell"), Registry: r.registry,
 	})
 	if err != nil {
@@ -94,7 +101,7 @@
 	}
 	r.cells = cells
 	g := gateway.New(gateway.Config{
-		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: r.newTargetClient(local), Clock: c,
+		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: r.newTargetClient(local, s.AnswerMemory), Clock: c,
 		Logger: r.logger.Named("gateway"), Registry: r.registry,
 	})
 	r.drain.Store(&s.Drain)
@@ -107,11 +114,13 @@
 	)
 }
 
-// newTargetClient returns a new client for targets that uses a source address.
-func (r *Router) newTargetClient(local *net.TCPAddr) *upstream.Client {
+// newTargetClient returns a new client for targets that uses a source address and at
+// most answerMemory bytes for large answers.
+func (r *Router) newTargetClient(local *net.TCPAddr, answerMemory int64) *upstream.Client {
 	d := net.Dialer{KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	peer.BindSource(&d, local)
 	c := upstream.New(d, r.registry)
+	c.AnswerMemory = answerMemory
 	r.clients = append(r.clients, c)
 	return c
 }
--- a/node/upstream/conn.go
+++ b/node/upstream/conn.go
@@ -13,6 +13,7 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
+	raw         *limitedReader // what reader reads from
 	address     string
 	openedAt    time.Time
 	reader      *bufio.Reader
--- /dev/null
+++ b/node/upstream/limits.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxAnswerBytes is the largest answer body that is passed on, in bytes.
+	MaxAnswerBytes = 16 << 20
+	// DefaultAnswerMemory is the default of Client.AnswerMemory, in bytes.
+	DefaultAnswerMemory = 24 << 20
+	// maxHeadBytes is the largest status line and header of an answer, in bytes.
+	maxHeadBytes = 64 << 10
+	// maxInformational is how many informational (1xx) answers may precede an answer.
+	maxInformational = 8
+	// maxMismatchedAnswers is how many answers to other requests are skipped
+	// before the request fails.
+	maxMismatchedAnswers = 3
+	// freeAnswerBytes is the size in bytes up to which a body does not count towards
+	// AnswerMemory. Targets whose answers do not end then cannot displace the answers of
+	// other targets, which are usually smaller.
+	freeAnswerBytes = 128 << 10
+	// firstBufferBytes is the size in bytes of the first buffer for a body of unknown
+	// length; further ones are twice as large.
+	firstBufferBytes = 16 << 10
+)
+
+var (
+	errHeadTooLarge      = errors.Errorf("the status line and header of the answer exceed %d bytes", maxHeadBytes)
+	errBodyTooLarge      = errors.Errorf("the body of the answer exceeds %d bytes", MaxAnswerBytes)
+	errAnswerMemory      = errors.New("no memory is left for an answer of this size beside those in progress")
+	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
+	errOtherRequests     = errors.New("the answers on the connection belong to other requests")
+)
+
+// limitedReader reads from a connection and fails once more than left bytes are read.
+// A negative left means no limit.
+type limitedReader struct {
+	net.Conn
+	left int64
+}
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	switch {
+	case r.left == 0:
+		return 0, errHeadTooLarge
+	case r.left > 0 && int64(len(p)) > r.left:
+		p = p[:r.left]
+	}
+	n, err := r.Conn.Read(p)
+	if r.left > 0 {
+		r.left -= int64(n)
+	}
+	return n, err
+}
+
+// readHead reads the status line and header of the next answer on the connection.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.raw.left = maxHeadBytes
+	defer func() { c.raw.left = -1 }()
+	return http.ReadResponse(c.reader, req)
+}
+
+// answerMemory counts the memory that the bodies of answers use beyond
+// freeAnswerBytes each.
+type answerMemory struct{ used atomic.Int64 }
+
+// reserve adds n bytes unless that would exceed limit, and reports whether it did.
+func (m *answerMemory) reserve(n, limit int64) bool {
+	if n == 0 || m.used.Add(n) <= limit {
+		return true
+	}
+	m.used.Add(-n)
+	return false
+}
+
+func (m *answerMemory) release(n int64) { m.used.Add(-n) }
+
+// reservationFor returns how much a buffer of a size counts towards AnswerMemory.
+func reservationFor(size int64) int64 { return max(0, size-freeAnswerBytes) }
+
+// readBody reads the whole body of an answer. reserved is what it counts towards
+// AnswerMemory until it is released.
+func (c *Client) readBody(resp *http.Response) (body []byte, reserved int64, err error) {
+	size := min(resp.ContentLength, MaxAnswerBytes+1)
+	switch {
+	case size > MaxAnswerBytes:
+		return nil, 0, errBodyTooLarge
+	case size == 0:
+		return nil, 0, nil
+	case size < 0:
+		size = firstBufferBytes
+	}
+	for n := 0; ; {
+		grown := reservationFor(size)
+		if !c.memory.reserve(grown, c.AnswerMemory) { // while both buffers exist, both count
+			c.memory.release(reserved)
+			return nil, 0, errAnswerMemory
+		}
+		buffer := make([]byte, size)
+		copy(buffer, body[:n])
+		c.memory.release(reserved)
+		body, reserved = buffer, grown
+		read, err := fill(resp.Body, body[n:])
+		n += read
+		switch {
+		case err == io.EOF || err == nil && resp.ContentLength >= 0:
+			return body[:n], reserved, nil
+		case err != nil:
+			c.memory.release(reserved)
+			return nil, 0, err
+		case n > MaxAnswerBytes:
+			c.memory.release(reserved)
+			return nil, 0, errBodyTooLarge
+		}
+		size = min(2*size, MaxAnswerBytes+1)
+	}
+}
+
+// fill reads until p is full or an error occurs. Unlike io.ReadFull it returns the
+// error of the reader as it is: io.EOF is the end of a body, io.ErrUnexpectedEOF that of
+// one that was cut off.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var read int
+		read, err = r.Read(p[n:])
+		n += read
+	}
+	return n, err
+}
+
+// discardBody reads the body of an answer to another request, up to MaxAnswerBytes.
+func discardBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	if err == nil && n > MaxAnswerBytes {
+		err = errBodyTooLarge
+	}
+	return err
+}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -40,11 +40,6 @@
 	// idleSweepInterval bounds how long a connection stays open after it became
 	// too old to be reused.
 	idleSweepInterval = 3 * time.Second
-	// MaxAnswerBytes is the largest answer body that is passed on, in bytes.
-	MaxAnswerBytes = 16 << 20
-	// maxMismatchedAnswers is how many answers to other requests are skipped
-	// before the request fails.
-	maxMismatchedAnswers = 3
 	// concurrentSendSize is the encoded size in bytes above which a request is
 	// sent while the answer is already being read: a target may answer before it
 	// has read the whole body.
@@ -63,6 +58,10 @@
 	// NonIdempotent is set for requests that may run only once. They are not sent
 	// on connections that were idle for longer than idleLimit allows.
 	NonIdempotent bool
+	// NewConnection is set if the target has answered this request before, for example
+	// that it did not run it. A late second copy of that answer, which carries the same
+	// id, could not be told from the next answer on the same connection.
+	NewConnection bool
 	// MatchesRequest reports whether the header of an answer belongs to this request.
 	// If it is nil, the first answer is taken.
 	MatchesRequest func(http.Header) bool
@@ -77,6 +76,16 @@
 	Header http.Header
 	Body   []byte
 	Took   time.Duration // from the first byte sent to the last byte received
+
+	reserved int64 // memory that the body counts for
+	memory   *answerMemory
+}
+
+// Release ends the use of the body, which no longer counts towards
+// Client.AnswerMemory. Further calls have no effect.
+func (a *Answer) Release() {
+	a.memory.release(a.reserved)
+	a.reserved = 0
 }
 
 // Error is the failure of an attempt.
@@ -97,6 +106,11 @@
 
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
+	// AnswerMemory limits the memory, in bytes, that the bodies of large answers use
+	// together. It must be set before the first request.
+	AnswerMemory int64
+
+	memory     answerMemory
 	dialer     net.Dialer
 	opened     metrics.Counter
 	mismatched metrics.Counter
@@ -114,7 +128,7 @@
 func New(d net.Dialer, registry metrics.Registry) *Client {
 	d.Timeout = dialTimeout
 	return &Client{
-		dialer: d, idle: map[string][]*conn{}, silentAt: map[string]time.Time{},
+		AnswerMemory: DefaultAnswerMemory, dialer: d, idle: map[string][]*conn{}, silentAt: map[string]time.Time{},
 		opened:     metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
 		mismatched: metrics.GetOrRegisterCounter("upstream.answers_skipped", registry),
 	}
@@ -173,7 +187,7 @@
 // acquireConn returns an idle connection that may be reused for the request,
 // or a new one.
 func (c *Client) acquireConn(ctx context.Context, r Request) (*conn, error) {
-	for {
+	for !r.NewConnection {
 		cn := c.takeIdle(r.Address)
 		if cn == nil {
 			break
@@ -192,7 +206,8 @@
 		return nil, err
 	}
 	c.opened.Inc(1)
-	return &conn{Conn: raw, address: r.Address, openedAt: opened, maxIdleTime: defaultMaxIdleTime, reader: bufio.NewReader(raw)}, nil
+	limited := &limitedReader{Conn: raw, left: -1}
+	return &conn{Conn: raw, raw: limited, address: r.Address, openedAt: opened, maxIdleTime: defaultMaxIdleTime, reader: bufio.NewReader(limited)}, nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
@@ -321,30 +336,36 @@
 	return req, out.Bytes(), err
 }
 
-// receive reads answers until one belongs to the request. It skips
-// informational (1xx) answers and, unless the target closes the connection after
-// them, up to maxMismatchedAnswers answers to other requests.
+// receive reads answers until one belongs to the request. It skips up to
+// maxInformational informational (1xx) answers and, unless the target closes the
+// connection after them, up to maxMismatchedAnswers answers to other requests.
 func (c *Client) receive(cn *conn, r Request, req *http.Request, start time.Time) (*Answer, error) {
-	for mismatched := 0; ; {
-		resp, err := http.ReadResponse(cn.reader, req)
+	for informational, mismatched := 0, 0; ; {
+		resp, err := cn.readHead(req)
 		if err != nil {
 			return nil, errors.Wrap(err, "receive")
 		}
-		body, err := readBody(resp)
-		if err != nil {
-			return nil, errors.Wrap(err, "receive body")
-		}
 		switch {
 		case resp.StatusCode < http.StatusOK:
+			if informational++; informational > maxInformational {
+				return nil, errManyInformational
+			}
 		case r.MatchesRequest != nil && !r.MatchesRequest(resp.Header):
 			c.mismatched.Inc(1)
 			if mismatched++; mismatched > maxMismatchedAnswers || resp.Close {
-				return nil, errors.New("the answers on the connection belong to other requests")
+				return nil, errOtherRequests
+			}
+			if err := discardBody(resp); err != nil {
+				return nil, errors.Wrap(err, "receive an answer to another request")
 			}
 		default:
+			body, reserved, err := c.readBody(resp)
+			if err != nil {
+				return nil, errors.Wrap(err, "receive body")
+			}
 			cn.notReusable = cn.notReusable || resp.Close || closeDelimited(resp)
 			cn.maxIdleTime = maxIdleTimeFrom(resp.Header)
-			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(start)}, nil
+			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(start), reserved: reserved, memory: &c.memory}, nil
 		}
 	}
 }
@@ -367,20 +388,3 @@
 func closeDelimited(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
-
-func readBody(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	if resp.ContentLength > MaxAnswerBytes {
-		return nil, errors.Errorf("the answer has %d bytes, more than %d", resp.ContentLength, int64(MaxAnswerBytes))
-	}
-	if resp.ContentLength > 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
-	if err == nil && len(body) > MaxAnswerBytes {
-		err = errors.Errorf("the answer has more than %d bytes", int64(MaxAnswerBytes))
-	}
-	return body, err
-}
