Grants of keys last as long as the longest request of their service

Change: a grant lasts for the longest timeout of the service's routes and one renewal, from 1.8 s (as before) to 2.9 s, so that a lost key is served again within 4 s. The cell's record tells the duration, and a successor waits for that of the record that it replaces. While an owner does not answer, renewals no longer extend the time for which it may hold its keys.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -146,4 +146,24 @@
 	// Change differs for each version of the record that a process writes.
 	Change uint64
 	Keys   []keyspace.Assignment
+	// Hold is how long the leader's grants of keys last; 0 in records of earlier versions,
+	// whose grants last for ShortestHold.
+	Hold time.Duration
+}
+
+// ShortestHold and LongestHold bound the duration of a grant of keys.
+const (
+	// ShortestHold spans the replacement of a lost leader, so that keys stay held.
+	ShortestHold = 1800 * time.Millisecond
+	// LongestHold is how long keys of a lost target may have no owner: with the call that
+	// is in flight at its loss and a slow clock, they are served again within 4 s.
+	LongestHold = 2900 * time.Millisecond
+)
+
+// GrantHold returns how long grants of the leader that the record names last.
+func (c *Cell) GrantHold() time.Duration {
+	if c == nil || c.Hold == 0 {
+		return ShortestHold
+	}
+	return c.Hold
 }
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -12,6 +12,9 @@
 const (
 	grantRetryDelay   = 150 * time.Millisecond
 	releaseRetryDelay = time.Second
+	// minProbeHold is the least duration of a grant to an owner that has not answered the
+	// last one. It leaves time for a renewal at full length after an answer.
+	minProbeHold = 300 * time.Millisecond
 )
 
 // Step returns the calls that are due. mayRun reports whether the process of a
@@ -74,8 +77,23 @@
 	}
 	p.sentAt = now
 	heldUntilBefore := p.heldUntil
-	p.heldUntil = max(p.heldUntil, now+m.cfg.MaxHoldSinceSend())
-	return m.registerCall(now, p, Action{Kind: Grant, Holder: p.Owner, Fence: p.Fence, Handover: p.handover}, heldUntilBefore), true
+	a := m.registerCall(now, p, Action{Kind: Grant, Holder: p.Owner, Fence: p.Fence, Hold: m.grantDuration(now, p), Handover: p.handover}, heldUntilBefore)
+	p.heldUntil = max(p.heldUntil, m.calls[a.ID].expires)
+	return a, true
+}
+
+// grantDuration returns how long the next grant of a range is to last. While the owner
+// does not answer, a grant does not last beyond the one before: if the owner is lost,
+// its keys have to wait until the last grant has expired.
+func (m *Manager) grantDuration(now time.Duration, p *keyRange) time.Duration {
+	if _, failing := m.failingSince[p.Owner]; !failing {
+		return m.cfg.Hold
+	}
+	left := time.Duration(float64(p.heldUntil-now-m.cfg.CallTimeout) * (1 - m.cfg.ClockError))
+	if left < minProbeHold {
+		return m.cfg.Hold
+	}
+	return min(left, m.cfg.Hold)
 }
 
 // registerCall records a call as in flight and returns its action with the ID and
@@ -83,7 +101,7 @@
 func (m *Manager) registerCall(now time.Duration, p *keyRange, a Action, heldUntilBefore time.Duration) Action {
 	m.nextID++
 	a.ID, a.From, a.To = m.nextID, p.From, p.To
-	c := &call{Action: a, sent: now, heldUntilBefore: heldUntilBefore}
+	c := &call{Action: a, sent: now, expires: now + m.cfg.CallTimeout + m.cfg.longest(a.Hold), heldUntilBefore: heldUntilBefore}
 	m.calls[a.ID] = c
 	p.dropFinishedCalls()
 	p.calls = append(p.calls, c)
@@ -108,7 +126,7 @@
 			continue
 		}
 		if c.Kind == Grant && result == NoAnswer {
-			p.extendHolds(c.Holder, c.sent+m.cfg.MaxHoldSinceSend())
+			p.extendHolds(c.Holder, c.expires)
 		}
 		if p.From < c.From || p.To > c.To {
 			continue
@@ -148,13 +166,16 @@
 	switch result {
 	case Accepted:
 		p.granted, p.accepted, p.retryAt, p.handover = true, true, 0, ""
-		p.heldUntil = max(now+cfg.maxHold(), p.uncertainUntil)
+		p.heldUntil = max(now+cfg.longest(c.Hold), p.uncertainUntil)
+		if c.Hold < cfg.Hold {
+			p.sentAt = 0 // renew at full length at once
+		}
 	case Superseded:
 		p.granted, p.superseded = false, true
 	case Ended:
 		p.granted = false
 	case NotSent:
-		if p.heldUntil == c.sent+cfg.MaxHoldSinceSend() {
+		if p.heldUntil == c.expires {
 			p.heldUntil = max(c.heldUntilBefore, p.uncertainUntil)
 		}
 		p.granted = p.granted && now < p.heldUntil
@@ -174,9 +195,9 @@
 		h := &p.prior[i]
 		switch {
 		case h.Hold == Hold{Holder: c.Holder, Fence: c.Fence}:
-			h.heldUntil = max(now+cfg.maxHold(), h.uncertainUntil)
+			h.heldUntil = max(now+cfg.longest(c.Hold), h.uncertainUntil)
 		case h.Holder == c.Holder:
-			h.heldUntil = max(h.heldUntil, now+cfg.maxHold())
+			h.heldUntil = max(h.heldUntil, now+cfg.longest(c.Hold))
 		}
 	}
 }
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -58,7 +58,8 @@
 	Holder   Holder
 	From, To int
 	Fence    int64
-	Handover string // prior holder's answer to the release; Grant only
+	Hold     time.Duration // how long the grant lasts on the target's clock; Grant only
+	Handover string        // prior holder's answer to the release; Grant only
 }
 
 // CallResult is the result of an Action.
@@ -85,22 +86,24 @@
 	MaxRanges int
 }
 
-// maxHold returns the longest time that a grant is in effect after its arrival,
-// on a target whose clock runs slow by ClockError.
-func (c Config) maxHold() time.Duration {
-	return time.Duration(math.Ceil(float64(c.Hold) / (1 - c.ClockError)))
+// longest returns the longest time that a grant of the given duration is in effect
+// after its arrival, on a target whose clock runs slow by ClockError.
+func (c Config) longest(hold time.Duration) time.Duration {
+	return time.Duration(math.Ceil(float64(hold) / (1 - c.ClockError)))
 }
 
 // MaxHoldSinceSend returns the time after sending a grant at which it is certain
 // to have expired.
 func (c Config) MaxHoldSinceSend() time.Duration {
-	return c.CallTimeout + c.maxHold()
+	return c.CallTimeout + c.longest(c.Hold)
 }
 
 // call is a call to a target. done is set when its result has been reported.
 type call struct {
 	Action
 	sent time.Duration
+	// expires is the latest time at which the grant is in effect.
+	expires time.Duration
 	// heldUntilBefore is the heldUntil of the holder before the call was sent.
 	heldUntilBefore time.Duration
 	done            bool
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -234,3 +234,44 @@
 		require.False(t, call.Kind == Grant && call.From == 0, "granted while %s may hold the key", owner.Target)
 	}
 }
+
+// Guards against keys of a lost target that stay without an owner for longer than one
+// grant lasts: renewals that the target does not answer must not extend the time for
+// which it may hold them.
+func TestUnansweredRenewalsDoNotExtendHold(t *testing.T) {
+	m := newManagerWithOwners(t, "a", "b")
+	owner, _, _ := m.Owner(0, 0)
+	lostAt, lastRenewal := 800*time.Millisecond, 800*time.Millisecond
+	inFlight := map[uint64]time.Duration{}
+	for now := lostAt; now < 2*time.Second; now += 10 * time.Millisecond {
+		for id, sent := range inFlight {
+			if now >= sent+testTimeout {
+				m.ReportResult(now, id, NoAnswer, "")
+				delete(inFlight, id)
+			}
+		}
+		for _, a := range m.Step(now, alwaysMayRun) {
+			if a.Holder == owner {
+				inFlight[a.ID] = now
+				assert.LessOrEqual(t, a.Hold, testHold)
+			} else {
+				m.ReportResult(now, a.ID, Accepted, "")
+			}
+		}
+	}
+	assert.LessOrEqual(t, m.rangeOf(0).heldUntil, lastRenewal+testConfig().MaxHoldSinceSend())
+}
+
+// Guards against a grant that was shortened while its target did not answer and that
+// expires before it is renewed, although the target answers again.
+func TestShortenedGrantIsRenewedAtOnce(t *testing.T) {
+	m := newManagerWithOwners(t, "a")
+	const lost = 800 * time.Millisecond
+	completeDueCalls(m, lost, NoAnswer)
+	probe := completeDueCalls(m, lost+testTimeout+grantRetryDelay, Accepted)
+	require.Len(t, probe, 1)
+	require.Less(t, probe[0].Hold, testHold)
+	renewal := completeDueCalls(m, lost+testTimeout+grantRetryDelay+50*time.Millisecond, Accepted)
+	require.Len(t, renewal, 1)
+	assert.Equal(t, testHold, renewal[0].Hold)
+}
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -166,7 +166,7 @@
 		return Accepted
 	}
 	// The target's clock may run 2 % slow; a grant's duration counts from its arrival.
-	return g.grant(c.arrivesAt, c.action, testHold*100/98)
+	return g.grant(c.arrivesAt, c.action, c.action.Hold*100/98)
 }
 
 // send sends the due calls of a manager; some are lost or applied late.
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -93,13 +93,15 @@
 	}
 	record := &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot}
 	if svc.Keyed {
-		record.Keys = keyspace.New(keyConfig(), resolveFences(current, currentNumber), 0).TakeOver()
+		cfg, _ := s.view.Config()
+		record.Hold = holdFor(cfg, svc.Name)
+		record.Keys = keyspace.New(keyConfig(record.Hold), resolveFences(current, currentNumber), 0).TakeOver()
 	}
 	number, err := s.write(ctx, record)
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
-	s.startLeading(svc.Name, s.inherit(svc, bound()), number)
+	s.startLeading(svc.Name, s.inherit(svc, bound()+maxHoldAfterLease(current.GrantHold())), number)
 	return nil
 }
 
@@ -114,19 +116,20 @@
 }
 
 // inherit builds the key manager of a cell from its newest record, whose
-// assignments it takes over. bound is how long the previous leader may still
-// grant keys. It returns nil for a service without keys.
+// assignments it takes over. bound is how long grants of the previous leader may still
+// be in effect. It returns nil for a service without keys.
 func (s *Service) inherit(svc fleet.Service, bound time.Duration) *keyspace.Manager {
 	if !svc.Keyed {
 		return nil
 	}
 	c, number := s.view.Cell(svc.Name)
-	return keyspace.New(keyConfig(), resolveFences(c, number), s.clock.Now()+bound+maxHoldAfterLease())
+	return keyspace.New(keyConfig(c.GrantHold()), resolveFences(c, number), s.clock.Now()+bound)
 }
 
 // maxHoldAfterLease returns how long a target may hold keys after the lease of the
-// leader that granted them has ended: the last grant may have been sent right before.
-func maxHoldAfterLease() time.Duration { return keyConfig().MaxHoldSinceSend() }
+// leader that granted them, for hold each, has ended: the last grant may have been sent
+// right before.
+func maxHoldAfterLease(hold time.Duration) time.Duration { return keyConfig(hold).MaxHoldSinceSend() }
 
 // resolveFences returns the assignments of a record with their fencing tokens.
 // Assignments that the record itself introduces are stored with fence 0, since
--- a/node/cell/contain_test.go
+++ b/node/cell/contain_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/node/panics"
@@ -60,7 +61,7 @@
 	vm := startVM(t, "vm-0", &memoryStore{})
 	registry, holder := metrics.NewRegistry(), keyspace.Holder{Target: "t"}
 	s := &Service{view: vm.view, clock: vm.clock, logger: vm.logger, keyCaller: panickingKeyCaller{}, guard: panics.New(vm.logger, registry)}
-	manager := keyspace.New(keyConfig(), []keyspace.Assignment{{From: 0, To: keyspace.Keys - 1, Owner: holder, Fence: 1}}, 0)
+	manager := keyspace.New(keyConfig(fleet.ShortestHold), []keyspace.Assignment{{From: 0, To: keyspace.Keys - 1, Owner: holder, Fence: 1}}, 0)
 	l := s.newLeadership("s", manager)
 	calls := l.dueCalls()
 	require.Len(t, calls, 1)
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -79,7 +79,7 @@
 	s.mu.Lock()
 	s.learnedFromLeader[a.Service] = a.Learned
 	s.mu.Unlock()
-	s.startLeadingAs(a.Service, s.inherit(svc, 0), number, c)
+	s.startLeadingAs(a.Service, s.inherit(svc, maxHoldAfterLease(c.GrantHold())), number, c)
 	s.announceDeputy(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self, Record: s.recordOf(a.Service)})
 	reply.Acts = true
 	return nil
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -23,7 +24,7 @@
 	require.Eventually(t, func() bool { return len(leaders(others)) == 1 && leader.leadershipOf("s") == nil }, 2*time.Second, 5*time.Millisecond)
 	leader.stop()
 	deputyVM := leaders(others)[0]
-	for end := time.Now().Add(leaderLease + holdDuration); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(leaderLease + fleet.ShortestHold); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, vm := range others {
 			slot, err := vm.AcquireSlot(context.Background(), newLendArgs(vm))
 			require.NoError(t, err)
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -150,7 +150,7 @@
 	}
 	if c, _ := l.view.Cell(l.service); c.Change == record.Change {
 		l.logger.Warn("grants no keys until a new record is written: a VM that was asked to lead the cell did not answer and may still take it")
-		number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys})
+		number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys, Hold: c.Hold})
 		if err == nil {
 			l.s.resume(l, number)
 			return
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,10 +15,6 @@
 )
 
 const (
-	// holdDuration is how long a target holds keys without a renewal, and so how long
-	// keys of a lost target have no owner. It exceeds leaderTimeout and the rankDelay of
-	// a few ranks, so that a lost leader is replaced before its grants expire.
-	holdDuration  = 1800 * time.Millisecond
 	renewInterval = 500 * time.Millisecond // two renewals in a row may be lost
 	// callTimeout bounds a grant call. A target answers in a few milliseconds, or in
 	// about 300 ms if a packet is lost.
@@ -48,8 +45,29 @@
 	coldCapacity = 0.3
 )
 
-func keyConfig() keyspace.Config {
-	return keyspace.Config{Hold: holdDuration, Renew: renewInterval, CallTimeout: callTimeout, ClockError: clockError, MaxRanges: maxRanges}
+// holdFor returns how long grants of a service's keys are to last. A target ends a request
+// that outlasts the grant under which it began, although the grant is renewed
+// meanwhile, so a grant lasts for the longest timeout of the service's routes, from up
+// to renewInterval after it was given.
+func holdFor(cfg *fleet.Config, service string) time.Duration {
+	hold := fleet.ShortestHold
+	if cfg == nil {
+		return hold
+	}
+	for _, r := range cfg.Routes {
+		if !slices.ContainsFunc(r.Parts, func(p fleet.RoutePart) bool { return p.Service == service }) {
+			continue
+		}
+		if r.Timeout <= 0 {
+			return fleet.LongestHold
+		}
+		hold = max(hold, r.Timeout+renewInterval)
+	}
+	return min(hold, fleet.LongestHold)
+}
+
+func keyConfig(hold time.Duration) keyspace.Config {
+	return keyspace.Config{Hold: hold, Renew: renewInterval, CallTimeout: callTimeout, ClockError: clockError, MaxRanges: maxRanges}
 }
 
 // KeyCall is a grant or release call to a target for the keys From to To, both
@@ -86,6 +104,7 @@
 	// deputyFor is the record of the leader whose deputy this VM is, or nil if this
 	// VM is the leader itself.
 	deputyFor        *fleet.Cell
+	hold             time.Duration // of the grants, as the record of the cell tells
 	claimingAsDeputy atomic.Bool
 	// support tracks the leases of the VMs that support this leader. mu guards
 	// support, proposedAt and lastHandoverAttempt.
@@ -95,7 +114,8 @@
 }
 
 func (s *Service) newLeadership(service string, m *keyspace.Manager) *leadership {
-	l := &leadership{lenderDriver: newLenderDriver(s, service, s.retry.leaderConfig()), s: s, done: make(chan struct{})}
+	c, _ := s.view.Cell(service)
+	l := &leadership{lenderDriver: newLenderDriver(s, service, s.retry.leaderConfig()), s: s, done: make(chan struct{}), hold: c.GrantHold()}
 	l.keys = m
 	if m != nil {
 		l.load = keyspace.NewLoad(l.now())
@@ -240,7 +260,7 @@
 		l.finish(a, keyspace.NotSent, "", errors.New("the address of the target is unknown"))
 		return
 	}
-	call := KeyCall{Target: a.Holder.Target, Address: address, From: a.From, To: a.To, Fence: a.Fence, Hold: holdDuration, Handover: a.Handover}
+	call := KeyCall{Target: a.Holder.Target, Address: address, From: a.From, To: a.To, Fence: a.Fence, Hold: a.Hold, Handover: a.Handover}
 	timeout := callTimeout
 	if a.Kind == keyspace.Release {
 		timeout = keyReleaseTimeout
@@ -324,7 +344,7 @@
 // commit writes proposed assignments to the store, after which they take effect.
 func (l *leadership) commit(ctx context.Context, assignments []keyspace.Assignment) {
 	began := l.now()
-	number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Keys: assignments})
+	number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Keys: assignments, Hold: l.hold})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/node/cell/lenderdriver.go
+++ b/node/cell/lenderdriver.go
@@ -52,7 +52,7 @@
 		service: service, now: s.clock.Now, view: s.view, coldShare: 1,
 		logger:  s.logger.With("service", service),
 		waiters: map[uint64]chan lending.Decision{}, lastID: &s.lastID, wake: make(chan struct{}, 1),
-		redirect: make(chan struct{}), closed: make(chan struct{}), recordedOwners: lending.NewRecordedOwners(s.started, holdDuration),
+		redirect: make(chan struct{}), closed: make(chan struct{}), recordedOwners: lending.NewRecordedOwners(s.started, fleet.LongestHold),
 	}
 	d.lender = lending.New(cfg, rand.New(rand.NewSource(rand.Int63())), d.ownerOf)
 	return d
@@ -75,7 +75,7 @@
 	c, _ := d.view.Cell(d.service)
 	owner := recordedOwner(c, key)
 	if owner == "" {
-		return lending.Ownership{State: lending.Lost, Wait: holdDuration}
+		return lending.Ownership{State: lending.Lost, Wait: fleet.ShortestHold}
 	}
 	return d.recordedOwners.Owner(now, owner, processEnded(d.view, c))
 }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -185,7 +185,7 @@
 		s.stopLeading(svc.Name, l, "another VM is deputy of this one")
 	case leading || busy:
 	case mine && !s.hasDeputy(svc.Name, c):
-		s.startLeading(svc.Name, s.inherit(svc, 0), number)
+		s.startLeading(svc.Name, s.inherit(svc, maxHoldAfterLease(fleet.LongestHold)), number)
 	case !s.retiring.Load() && s.shouldClaim(svc.Name, c):
 		s.mu.Lock()
 		s.claiming[svc.Name] = true
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -256,7 +256,7 @@
 func (l *leadership) lowerPriorManagerHoldBound(r *releaseVotes, leaseEnds time.Duration, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, bound := l.now(), leaseEnds+maxHoldAfterLease()
+	now, bound := l.now(), leaseEnds+maxHoldAfterLease(r.record.GrantHold())
 	l.keys.LowerPriorManagerHoldBound(now, bound)
 	l.logger.Info("grants of the previous leader expire earlier than assumed at the claim", "leader", r.record.Leader, "boot", r.record.Boot, "within", bound-now, "why", why)
 }
--- a/node/cell/support_test.go
+++ b/node/cell/support_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
@@ -13,7 +14,7 @@
 )
 
 // Guards against keys without owners in an outage of the store that is longer than
-// leaderLease and holdDuration. A leader that enough VMs support must keep granting,
+// leaderLease and the hold of grants. A leader that enough VMs support must keep granting,
 // since no other VM can have taken over. When leaders once did not, an outage of 8 s led to
 // 2,000 refused reads a second from the fifth second on.
 func TestKeysStayHeldWhileStoreIsAway(t *testing.T) {
@@ -28,7 +29,7 @@
 	}
 	require.Eventually(t, held, 3*time.Second, 20*time.Millisecond)
 	store.setDown(true)
-	for end := time.Now().Add(leaderLease + holdDuration + time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(leaderLease + fleet.ShortestHold + time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		require.True(t, held())
 	}
 	require.NoError(t, l.mayGrant())
@@ -104,5 +105,5 @@
 	_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(restarted.ID), VM: &restarted}, view.AnyOffset)
 	require.NoError(t, err)
 	l := next.leadershipOf("s")
-	require.Eventually(t, func() bool { return l.previousGrantsLeft() <= maxHoldAfterLease() }, leaderLease/2, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return l.previousGrantsLeft() <= maxHoldAfterLease(fleet.ShortestHold) }, leaderLease/2, 10*time.Millisecond)
 }
