Tell the speed of a target's machine from its momentary slowdown

Cause: targets report how long work takes on their machine at the moment. Change: the least of the last six reports is the usual slowdown, the rest is momentary; times of requests count where they differ from the reports by a factor of 1.8. The model of a cell draws noise as the targets do, and ends requests that outlast their grant. TestSpeedOfMachineCountsAsSlowness failed before.

--- a/core/lending/learned.go
+++ b/core/lending/learned.go
@@ -21,7 +21,7 @@
 func (l *Lender) Learned() Learned {
 	out := Learned{Targets: make(map[string]LearnedTarget, len(l.targets)), Work: make(map[string]time.Duration, len(l.routes))}
 	for id, t := range l.targets {
-		out.Targets[id] = LearnedTarget{Life: t.Life, Slowness: t.slowness, Failing: t.failureRate}
+		out.Targets[id] = LearnedTarget{Life: t.Life, Slowness: t.slowness.usually(), Failing: t.failureRate}
 	}
 	for route, s := range l.routes {
 		out.Work[route] = s.work
@@ -35,13 +35,13 @@
 func (l *Lender) RestoreLearned(learned Learned) {
 	for id, saved := range learned.Targets {
 		if t := l.targets[id]; t != nil && t.Life == saved.Life && saved.Slowness > 0 {
-			t.slowness = min(max(saved.Slowness, minSlowness), maxSlowness)
+			t.slowness.measured = min(max(saved.Slowness, minSlowness), maxSlowness)
 			t.failureRate = min(max(saved.Failing, 0), 1)
 		}
 	}
 	for route, work := range learned.Work {
 		if work > 0 {
-			l.routes[route] = &routeStats{work: work}
+			l.routes[route] = newRouteStats(work)
 		}
 	}
 }
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -185,7 +185,7 @@
 // average speed; 1 if the target is unknown.
 func (l *Lender) Slowness(target string) float64 {
 	if t := l.targets[target]; t != nil {
-		return t.slowness
+		return t.slowness.usually()
 	}
 	return 1
 }
@@ -242,7 +242,7 @@
 		l.targets[info.ID] = t
 	}
 	if !t.usable && t.known {
-		t.slowness, t.failureRate = 1, 0
+		t.slowness, t.failureRate = newSlownessEstimate(), 0
 	}
 	if info.ColdUntil > now && !t.cold(now) {
 		t.tokens, t.tokensAt = 0, now // no tokens for the time in which the target was warm
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -574,3 +574,24 @@
 	assert.Zero(t, refused)
 	assert.Greater(t, answered, 1700)
 }
+
+// Guards against slow machines that get as much work as fast ones: a target reports the
+// speed of its machine as a part of its slowdown, and that part was once taken for a
+// momentary one and left out of its slowness.
+func TestSpeedOfMachineCountsAsSlowness(t *testing.T) {
+	targets := pool(2)
+	l := newLender(testConfig(), nil, targets...)
+	speeds := map[string]float64{targets[0].ID: 0.7, targets[1].ID: 1.6}
+	now := time.Duration(0)
+	for id := uint64(1); id <= 200; id++ {
+		now += time.Second
+		r := request(id, now)
+		r.Avoid = targets[id%2].ID // so that both targets get requests
+		l.RequestSlot(now, r)
+		d := takeDecisions(l)[id]
+		require.True(t, d.Lent)
+		speed := speeds[d.Target]
+		l.Return(now, Usage{ID: id, Result: Answered, Took: time.Duration(speed * float64(100*ms)), Load: &LoadReport{Slots: 3, Slowdown: speed}})
+	}
+	assert.InDelta(t, 1.6/0.7, l.Slowness(targets[1].ID)/l.Slowness(targets[0].ID), 0.2)
+}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -158,7 +158,7 @@
 		if !t.available(now) {
 			continue
 		}
-		slots += float64(l.slotsOf(now, t)) / t.slowness
+		slots += float64(l.slotsOf(now, t)) / t.slowness.usually()
 		free = free || l.hasRoom(now, t)
 	}
 	if slots == 0 {
@@ -191,7 +191,7 @@
 		return 0, ""
 	}
 	slots := max(1, l.slotsOf(now, t))
-	return time.Duration(float64(ahead+l.expectedWork(r.Route)) * t.slowness / float64(slots)), ""
+	return time.Duration(float64(ahead+l.expectedWork(r.Route)) * t.slowness.usually() / float64(slots)), ""
 }
 
 // enqueue puts a request into the queue of the owner of its key, or into the
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -10,14 +10,8 @@
 const (
 	// defaultWork is the expected work of a route without any answer yet.
 	defaultWork = 80 * time.Millisecond // near the mean work of the deployments' kinds of requests
-	// workWeight, slownessWeight and failureWeight are the weights of a new
-	// sample in the moving averages.
-	workWeight     = 0.05 // work varies by a factor of several between requests
-	slownessWeight = 0.12 // shows a slow target within about eight answers
-	failureWeight  = 0.15
-	// maxSampleRatio caps one sample of a target's slowness at this multiple of
-	// its average, so that a single long request does not dominate it.
-	maxSampleRatio = 4.0
+	// failureWeight is the weight of a new sample in the moving average of failures.
+	failureWeight = 0.15
 	// crossDataCentreCost is added to the expected time at a target in another
 	// data centre, so that requests stay in their data centre where the times are
 	// about equal.
@@ -42,17 +36,9 @@
 	// crashWindow is how long after a broken connection the end of the target's
 	// process is attributed to the request on that connection.
 	crashWindow = 1500 * time.Millisecond
-	// minSlowness and maxSlowness bound the learned slowness, so that a target
-	// that recovers is soon seen as fast again.
-	maxSlowness, minSlowness = 12.0, 0.2
 	// shedPause is how long a target that reported that it was full gets no
 	// requests: about half of a request's work.
 	shedPause = 50 * time.Millisecond
-	// slowdownHalfLife is the half-life of a target's reported slowdown: the load
-	// of its neighbours on the same machine changes several times a second.
-	slowdownHalfLife = 300 * time.Millisecond
-	// maxSlowdown caps the slowdown that a target may report.
-	maxSlowdown = 20.0
 )
 
 // target is the lender's state of one target.
@@ -60,7 +46,7 @@
 	TargetInfo
 	known, usable  bool // known: was in a set of SetTargets; usable: is in the present set
 	inFlight       int
-	slowness       float64       // work here relative to the mean of all targets
+	slowness       slownessEstimate
 	failureRate    float64       // share of failed requests, 0 to 1
 	backoffUntil   time.Duration // no requests until then: it could not be reached
 	fullUntil      time.Duration // no requests until then: it reported that it was full
@@ -68,9 +54,7 @@
 	tokens         float64       // of the token bucket that limits the rate while cold
 	tokensAt       time.Duration
 	brokenRequests []brokenRequest // requests whose connections broke, kept until reportCrash
-	slowdown       float64         // factor that the target last reported; 1 if it works as usual
-	slowdownAt     time.Duration
-	queue          queue // requests for keys that the target owns
+	queue          queue           // requests for keys that the target owns
 	// lastAnswer is when each VM last got an answer from the target: the VM may
 	// still have an idle connection to it.
 	lastAnswer map[string]time.Duration
@@ -82,12 +66,19 @@
 	at          time.Duration
 }
 
-// routeStats holds the mean work of a route's requests at a target of average
-// speed.
-type routeStats struct{ work time.Duration }
+// routeStats holds the means of the work of a route's requests at a target of average
+// speed, and of the logarithm of its seconds.
+type routeStats struct {
+	work    time.Duration
+	logWork float64
+}
+
+func newRouteStats(work time.Duration) *routeStats {
+	return &routeStats{work: work, logWork: math.Log(work.Seconds())}
+}
 
 func newTarget(now time.Duration, info TargetInfo) *target {
-	return &target{TargetInfo: info, slowness: 1, slowdown: 1, tokensAt: now, lastAnswer: map[string]time.Duration{}}
+	return &target{TargetInfo: info, slowness: newSlownessEstimate(), tokensAt: now, lastAnswer: map[string]time.Duration{}}
 }
 
 func (l *Lender) expectedWork(route string) time.Duration {
@@ -185,7 +176,7 @@
 // expectedTime returns the time in nanoseconds that a request is expected to take at
 // a target, including the penalties that steer requests to other targets.
 func (l *Lender) expectedTime(now time.Duration, r *Request, t *target) float64 {
-	cost := float64(l.expectedWork(r.Route)) * t.slowness * t.slowdownNow(now) * (1 + failureCost*t.failureRate)
+	cost := float64(l.expectedWork(r.Route)) * t.slowness.usually() * t.slowness.excessNow(now) * (1 + failureCost*t.failureRate)
 	if t.DataCentre != r.DataCentre {
 		cost += float64(crossDataCentreCost)
 	}
@@ -203,7 +194,7 @@
 // recordUsage updates the state of a target from the end of a request.
 func (l *Lender) recordUsage(now time.Duration, lease *slotLease, u Usage) {
 	t := lease.target
-	t.recordSlowdown(now, u.Load)
+	t.slowness.recordReport(now, u.Load)
 	switch u.Result {
 	case Answered, Failed:
 		l.updateWork(lease, u)
@@ -231,19 +222,6 @@
 	}
 }
 
-// recordSlowdown stores the slowdown that a target reports of itself.
-func (t *target) recordSlowdown(now time.Duration, load *LoadReport) {
-	if load != nil && load.Slowdown > 0 {
-		t.slowdown, t.slowdownAt = min(load.Slowdown, maxSlowdown), now
-	}
-}
-
-// slowdownNow returns the factor by which work takes longer than usual. It
-// decays towards 1 with the age of the target's report.
-func (t *target) slowdownNow(now time.Duration) float64 {
-	return 1 + (t.slowdown-1)*math.Exp2(-float64(now-t.slowdownAt)/float64(slowdownHalfLife))
-}
-
 // recordShed stops requests for shedPause to a target that was full. A target
 // that sheds although it reports free slots does so at random: a pause would
 // only leave its slots unused.
@@ -277,18 +255,14 @@
 	}
 	s := l.routes[lease.Route]
 	if s == nil {
-		s = &routeStats{work: defaultWork}
+		s = newRouteStats(defaultWork)
 		l.routes[lease.Route] = s
 	}
-	t := lease.target
-	took := float64(u.Took)
-	if u.Load != nil && u.Load.Slowdown > 1 {
-		took /= min(u.Load.Slowdown, maxSlowdown) // a slowdown by neighbours on the machine is temporary
-	}
-	ratio := took / float64(s.work)
-	t.slowness += slownessWeight * (min(ratio, maxSampleRatio*t.slowness) - t.slowness)
-	t.slowness = min(max(t.slowness, minSlowness), maxSlowness)
-	s.work += time.Duration(workWeight * (took/t.slowness - float64(s.work)))
+	e, took := &lease.target.slowness, u.Took.Seconds()
+	e.recordTime(took, s.work.Seconds(), s.logWork)
+	took /= e.usually()
+	s.work += time.Duration(workWeight * (took*float64(time.Second) - float64(s.work)))
+	s.logWork += workWeight * (math.Log(took) - s.logWork)
 }
 
 // reportCrash attributes the end of a target's process to the requests whose
--- a/standin/model/model.go
+++ b/standin/model/model.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/quarantine"
@@ -23,19 +24,25 @@
 	Slots   int       // of each target
 	Speeds  []float64 // service time factors, assigned to the targets in turn
 	// Noisy neighbours: in each NoiseSpan, every target is slower by NoiseFactor
-	// with probability NoiseShare. A NoiseSpan of 0 means no noise.
+	// with probability NoiseShare, for the requests that begin in it. A NoiseSpan of 0
+	// means no noise.
 	NoiseShare, NoiseFactor float64
 	NoiseSpan               time.Duration
+	NoReports               bool // targets do not report how slow they are
 
 	Rate      float64       // requests/s
 	Work      time.Duration // mean service time at a target of speed factor 1
 	Spread    float64       // sigma of the log-normal service time
 	Objective time.Duration // highest latency, at the caller, that counts as WithinObjective
 	Deadline  time.Duration // time from the arrival at which a running request times out
-	Keyed     bool          // requests carry keys, and targets own ranges of keys
-	Skew      float64       // exponent of the key popularity, below 1; 0 is uniform; popular keys are adjacent
-	Hot       []HotSpot
-	Bursts    []Burst
+	// Hold is how long a grant of keys lasts; 0 means defaultHold. A request that still
+	// runs when the grant under which it began would have expired fails, although the
+	// grant is renewed meanwhile.
+	Hold   time.Duration
+	Keyed  bool    // requests carry keys, and targets own ranges of keys
+	Skew   float64 // exponent of the key popularity, below 1; 0 is uniform; popular keys are adjacent
+	Hot    []HotSpot
+	Bursts []Burst
 
 	Warm   time.Duration // warm-up; requests that arrive in it are not counted
 	Length time.Duration // measured time after the warm-up
@@ -59,6 +66,7 @@
 type Result struct {
 	Requests                                 int
 	WithinObjective, Late, Refused, TimedOut float64       // shares of the requests
+	OutlastedGrant                           float64       // share of the requests that failed because of Config.Hold
 	QueueWaitP50, QueueWaitP90               time.Duration // time in the lender's queue, of requests that got a slot
 	QueueWaitP99                             time.Duration
 	OwnershipRecords                         int     // ownership changes that were committed
@@ -73,12 +81,12 @@
 	proposeInterval = 400 * time.Millisecond
 	storeLatency    = 30 * time.Millisecond // from the proposal of an ownership change to its commit
 	coldRate        = 5.0                   // requests/s of a cold target
+	defaultHold     = fleet.ShortestHold
 )
 
 // The settings that a leader uses.
 var (
-	keyConfig = keyspace.Config{Hold: 1800 * time.Millisecond, Renew: 500 * time.Millisecond, CallTimeout: 500 * time.Millisecond,
-		ClockError: 0.02, MaxRanges: 8}
+	keyConfig   = keyspace.Config{Renew: 500 * time.Millisecond, CallTimeout: 500 * time.Millisecond, ClockError: 0.02, MaxRanges: 8}
 	retryBudget = retry.BudgetConfig{Share: 0.16, Burst: 30}
 )
 
@@ -90,6 +98,7 @@
 	late
 	refused
 	timedOut
+	outlastedGrant
 	outcomeCount
 )
 
@@ -98,6 +107,29 @@
 	speed   float64
 	noise   float64
 	running []*request
+	grants  []grant
+}
+
+// grant is the last accepted grant of a range.
+type grant struct {
+	from, to int
+	at       time.Duration
+}
+
+func (t *target) noteGrant(a keyspace.Action, now time.Duration) {
+	t.grants = slices.DeleteFunc(t.grants, func(g grant) bool { return a.From <= g.from && g.to <= a.To })
+	t.grants = append(t.grants, grant{a.From, a.To, now})
+}
+
+// grantedAt returns when a key was last granted to the target.
+func (t *target) grantedAt(key int) time.Duration {
+	var at time.Duration
+	for _, g := range t.grants {
+		if g.from <= key && key <= g.to {
+			at = max(at, g.at)
+		}
+	}
+	return at
 }
 
 type request struct {
@@ -106,6 +138,8 @@
 	key           int
 	remainingWork float64 // seconds of service time left at speed factor 1
 	startedAt     time.Duration
+	slowdown      float64       // of its target when it began
+	grantEnds     time.Duration // when the grant under which it began would expire; 0 without keys
 	target        *target
 }
 
@@ -133,7 +167,12 @@
 func Run(c Config) Result {
 	m := &model{Config: c, rng: rand.New(rand.NewSource(c.Seed)), targets: map[string]*target{}, pending: map[uint64]*request{}, fence: 1}
 	if c.Keyed {
-		m.keys = keyspace.New(keyConfig, nil, 0)
+		if m.Hold == 0 {
+			m.Hold = defaultHold
+		}
+		cfg := keyConfig
+		cfg.Hold = m.Hold
+		m.keys = keyspace.New(cfg, nil, 0)
 		m.load = keyspace.NewLoad(0)
 	}
 	m.lender = lending.New(lending.Config{Budget: retryBudget}, m.rng, m.ownerOf)
@@ -197,27 +236,42 @@
 	for _, t := range m.orderedTargets {
 		m.busySlotSteps += float64(len(t.running))
 		t.running = slices.DeleteFunc(t.running, func(r *request) bool {
-			r.remainingWork -= stepLength.Seconds() / (t.speed * t.noise)
-			if r.remainingWork > 0 && m.now < r.arrived+m.Deadline {
+			r.remainingWork -= stepLength.Seconds() / r.slowdown
+			outlasted := r.grantEnds > 0 && m.now >= r.grantEnds
+			if r.remainingWork > 0 && m.now < r.arrived+m.Deadline && !outlasted {
 				return false
 			}
 			result := lending.Answered
-			if r.remainingWork > 0 {
+			switch {
+			case r.remainingWork <= 0:
+			case outlasted:
+				result = lending.Failed
+			default:
 				result = lending.TimedOut
 			}
 			m.lender.Return(m.now, lending.Usage{ID: r.id, Result: result, Took: m.now - r.startedAt,
-				Load: &lending.LoadReport{Running: len(t.running) - 1, Slots: m.Slots, Slowdown: t.noise}})
-			m.complete(r, result == lending.Answered)
+				Load: m.loadReport(t)})
+			m.complete(r, result)
 			return true
 		})
 	}
 }
 
-func (m *model) complete(r *request, answered bool) {
+func (m *model) loadReport(t *target) *lending.LoadReport {
+	report := &lending.LoadReport{Running: len(t.running) - 1, Slots: m.Slots}
+	if !m.NoReports {
+		report.Slowdown = t.speed * t.noise
+	}
+	return report
+}
+
+func (m *model) complete(r *request, result lending.Result) {
 	took := m.now + 2*networkDelay - r.arrived
 	switch {
-	case !answered:
+	case result == lending.TimedOut:
 		m.countOutcome(r, timedOut)
+	case result == lending.Failed:
+		m.countOutcome(r, outlastedGrant)
 	case took <= m.Objective:
 		m.countOutcome(r, withinObjective)
 	default:
@@ -288,6 +342,7 @@
 			if a.Kind == keyspace.Release {
 				m.pendingReleases = append(m.pendingReleases, a)
 			} else {
+				m.targets[a.Holder.Target].noteGrant(a, m.now)
 				m.keys.ReportResult(m.now, a.ID, keyspace.Accepted, "")
 			}
 		}
@@ -333,7 +388,10 @@
 			continue
 		}
 		t := m.targets[d.Target]
-		r.startedAt, r.target = m.now, t
+		r.startedAt, r.target, r.slowdown = m.now, t, t.speed*t.noise
+		if m.keys != nil {
+			r.grantEnds = t.grantedAt(r.key) + m.Hold
+		}
 		t.running = append(t.running, r)
 		if r.arrived >= m.Warm {
 			m.queueWaits = append(m.queueWaits, d.Waited)
@@ -349,6 +407,7 @@
 	n := float64(max(1, r.Requests))
 	share := func(o outcome) float64 { return float64(m.outcomes[o]) / n }
 	r.WithinObjective, r.Late, r.Refused, r.TimedOut = share(withinObjective), share(late), share(refused), share(timedOut)
+	r.OutlastedGrant = share(outlastedGrant)
 	slices.Sort(m.queueWaits)
 	waitQuantile := func(q float64) time.Duration {
 		if len(m.queueWaits) == 0 {
--- a/standin/model/model_test.go
+++ b/standin/model/model_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/stretchr/testify/assert"
 )
 
@@ -64,3 +65,37 @@
 	t.Logf("%+v", r)
 	assert.Zero(t, r.Refused)
 }
+
+// longReadLoad returns the read load of the largest deployment: work that lasts longer
+// than a grant at a slow target, and 200 adjacent keys with a third of the requests.
+func longReadLoad() Config {
+	c := keyedReadLoad()
+	c.Targets, c.Rate, c.Work, c.Skew = 100, 250, 420*ms, 0.3
+	c.Objective, c.Deadline, c.Hold = 1200*ms, 2400*ms, fleet.LongestHold
+	c.Hot = []HotSpot{{From: 18 * time.Second, For: 5 * time.Second, Share: 0.35, Keys: 200}}
+	return c
+}
+
+// Guards against requests that end with an error because they outlast the grant of their
+// key, at targets that are slow for a while: a grant must last as long as a request may.
+func TestNoRequestOutlastsTheGrantOfItsKey(t *testing.T) {
+	c := longReadLoad()
+	r := Run(c)
+	t.Logf("%+v", r)
+	assert.Zero(t, r.OutlastedGrant)
+	c.Hold = fleet.ShortestHold
+	assert.Positive(t, Run(c).OutlastedGrant, "the load does not show the fault")
+}
+
+// Guards against a lender that serves too few reads of long work within their objective,
+// whether or not targets report how slow they are, with a third of the requests at 200
+// adjacent keys.
+func TestLongReadsAreServedWithinObjective(t *testing.T) {
+	for _, noReports := range []bool{false, true} {
+		c := longReadLoad()
+		c.NoReports = noReports
+		r := Run(c)
+		t.Logf("no reports %t: %+v", noReports, r)
+		assert.GreaterOrEqual(t, r.WithinObjective, minWithinObjective)
+	}
+}
