--- a/core/lending/recordedowners_test.go
+++ b/core/lending/recordedowners_test.go
@@ -77,3 +77,13 @@
 	l.Tick(2*ms + expectedFailover)
 	assert.True(t, takeDecisions(l)[2].Lent, "the owner is tried again after expectedFailover")
 }
+
+// Guards against requests that are sent to owners without keys right after all VMs
+// restarted: the new leader's record arrives before its grants, and the requests that
+// wait must not be lent slots locally in between.
+func TestRecordOfNewLeaderDoesNotEndTheWait(t *testing.T) {
+	owners := NewRecordedOwners(0, testGrantTTL)
+	assert.Equal(t, Lost, owners.Owner(300*ms, "t", true).State)
+	assert.Equal(t, Lost, owners.Owner(301*ms, "t", false).State, "the leader has only just written its record")
+	assert.Equal(t, Held, owners.Owner(300*ms+expectedFailover, "t", false).State)
+}
--- a/node/cell/handover_test.go
+++ b/node/cell/handover_test.go
@@ -126,6 +126,7 @@
 	for _, vm := range others {
 		require.Eventually(t, func() bool { return vm.heardRecently("vm-old", "boot-vm-old") }, 3*time.Second, 20*time.Millisecond)
 	}
+	require.Eventually(t, func() bool { return len(oldLeader.view.VMs()) == 1+len(others) }, 3*time.Second, 5*time.Millisecond, "the old leader knows no other VM that could lead")
 	oldStore.refusing.Store(true)
 	time.Sleep(maxCommitDelay)
 	require.NotNil(t, oldLeader.leadershipOf("s"), "the cell was handed over although nothing had to be written")
