A fleet that starts leaves the store to a few VMs, and the reader lets it wait

Change: a VM that starts reads the system log, which names the others, and gets the other logs from them; the first in rank read at once, the others only if nobody passes a log on. An empty log can be passed on too. Until there is a configuration four VMs poll, the others seldom. The store holds the reader's reads of the operators' log open for 0.25 s. Leaders that aren't the reader learn from it that they still lead. TestStartingVMsLeaveTheLogsToFew, TestFewVMsPollForTheConfiguration, TestReaderLetsTheStoreWaitForOperators, TestEmptyLogIsLearnedFromAnotherVM.

--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -43,10 +43,25 @@
 				s.syncWith(p)
 			}()
 		}
-		time.Sleep(syncInterval)
+		time.Sleep(s.syncPause())
 	}
 }
 
+// startSyncInterval replaces syncInterval for startSyncPeriod after the start of the
+// process, until the view is ready: the VM cannot serve requests before another VM has
+// sent it the logs that it does not read itself.
+const (
+	startSyncInterval = 50 * time.Millisecond
+	startSyncPeriod   = 500 * time.Millisecond
+)
+
+func (s *Service) syncPause() time.Duration {
+	if s.view.Ready() || s.clock.Now() > s.started+startSyncPeriod {
+		return syncInterval
+	}
+	return startSyncInterval
+}
+
 // syncPeers returns the VMs to exchange with now: the VM that reads the store, the
 // leaders that have not answered within heartbeatSkipPeriod, and, while a cell lacks an
 // answering leader or this VM's view is stale, a random other VM. While the view is
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -2,6 +2,10 @@
 // leads the first cell, the reader, reads the store often. The other VMs, the
 // followers, receive changes from leaders and read a log themselves only when their
 // view of it becomes stale.
+//
+// A VM that starts reads the system log, which names the other VMs, and gets the other
+// logs from these. While there is no reader, for example because all VMs start, a few
+// VMs poll the store, and the others get from them what they have read.
 package feed
 
 import (
@@ -30,15 +34,30 @@
 	// in which a change has to take effect.
 	readerMaxStaleness   = 300 * time.Millisecond
 	followerMaxStaleness = 800 * time.Millisecond
+	// operatorsWait is how long the store holds a read of the operators' log open for the
+	// reader while there is no change, which is rare. Targets register all the time, so
+	// holding the reads of their log would save nothing.
+	operatorsWait = 250 * time.Millisecond
 	// followerJitter keeps followers from all reading at once when the reader
 	// fails: those that wait longer receive the changes from those that have read.
 	followerJitter = 500 * time.Millisecond
-	// startMaxStaleness applies to followers whose view is not ready. Before the
-	// deployment has a configuration, all VMs poll the store for it.
-	startMaxStaleness = 1500 * time.Millisecond
-	// leaderSystemMaxStaleness is the staleness at which a leader reads the system
-	// log. Such a read renews the leader's lease, which lasts 2.5 s.
+	// While a VM's view is not ready, it polls the logs at pollerMaxStaleness if at most
+	// startPollers VMs rank before it, and otherwise at startMaxStaleness, in which the
+	// other VMs pass on what the pollers have read.
+	startPollers       = 4
+	pollerMaxStaleness = 700 * time.Millisecond
+	startMaxStaleness  = 4 * time.Second
+	// startDelayPerVM is how long a VM that starts leaves to each VM that ranks before
+	// it to read the store for it, and maxStartDelay limits the sum. The VM has a ready
+	// view after about two exchanges with another VM.
+	startDelayPerVM = 20 * time.Millisecond
+	maxStartDelay   = 2 * time.Second
+	// leaderSystemMaxStaleness is the staleness at which the reader reads the system
+	// log. Such a read renews the lease of a leader, which lasts 2.5 s, and that of
+	// other leaders, to which it is passed on. These read it at
+	// otherLeaderMaxStaleness, before they need the support of other VMs.
 	leaderSystemMaxStaleness = 700 * time.Millisecond
+	otherLeaderMaxStaleness  = 1100 * time.Millisecond
 	// nonLeaderSystemMaxStaleness is the same for VMs that lead no cell. They can
 	// confirm the lease of a leader whose own calls the store refuses, and read
 	// often enough to do so before the lease expires.
@@ -77,6 +96,7 @@
 	clock       *clock.Clock
 	roles       Roles
 	jitter      time.Duration
+	started     time.Duration // reading of clock
 	logger      hclog.Logger
 	guard       *panics.Guard
 	reads       metrics.Counter
@@ -93,6 +113,7 @@
 func New(self fleet.VM, v *view.View, store view.Store, c *clock.Clock, roles Roles, logger hclog.Logger, registry metrics.Registry) *Feed {
 	return &Feed{
 		self: self, view: v, store: store, clock: c, roles: roles, jitter: jitterOf(self.ID), logger: logger,
+		started:     c.Now(),
 		guard:       panics.New(logger, registry),
 		reads:       metrics.GetOrRegisterCounter("store.reads", registry),
 		failedReads: metrics.GetOrRegisterCounter("store.reads_failed", registry),
@@ -171,23 +192,62 @@
 // maxStaleness returns the staleness at which this VM reads a log.
 func (f *Feed) maxStaleness(l view.Log) time.Duration {
 	switch {
-	case l == view.System && f.roles.LeadsAnyCell():
+	case l == view.System && f.roles.IsReader():
 		return leaderSystemMaxStaleness
-	case l == view.System:
-		return nonLeaderSystemMaxStaleness
+	case l == view.System && f.roles.LeadsAnyCell():
+		return otherLeaderMaxStaleness
 	case f.roles.IsReader():
 		return readerMaxStaleness
 	case !f.view.Ready():
-		return startMaxStaleness
+		return f.startStaleness(l)
+	case l == view.System:
+		return nonLeaderSystemMaxStaleness
 	}
 	return followerMaxStaleness + f.jitter
 }
 
+// startStaleness is maxStaleness while the view is not ready.
+func (f *Feed) startStaleness(l view.Log) time.Duration {
+	rank, wait := f.rank(), maxStartDelay
+	if f.view.Staleness(view.System) < neverRead {
+		wait = startDelay(rank)
+	}
+	switch {
+	case l != view.System && f.view.Staleness(l) >= neverRead && f.clock.Now() < f.started+wait:
+		return never
+	case rank < startPollers:
+		return pollerMaxStaleness
+	}
+	return startMaxStaleness + f.jitter
+}
+
+// startDelay returns for how long a VM leaves the first read of a log to the VMs that
+// rank before it.
+func startDelay(rank int) time.Duration {
+	return min(time.Duration(rank)*startDelayPerVM, maxStartDelay)
+}
+
+// rank returns how many of the registered VMs rank before this one. VMs that start at
+// the same time may not know each other yet, and then several have a low rank.
+func (f *Feed) rank() int {
+	n := 0
+	for _, vm := range f.view.VMs() {
+		if a, b := idHash(vm.ID), idHash(f.self.ID); a < b || a == b && vm.ID < f.self.ID {
+			n++
+		}
+	}
+	return n
+}
+
 // jitterOf returns a duration below followerJitter that depends only on the VM's id.
 func jitterOf(vm string) time.Duration {
+	return time.Duration(idHash(vm)%1000) * followerJitter / 1000
+}
+
+func idHash(vm string) uint32 {
 	h := fnv.New32a()
 	_, _ = io.WriteString(h, vm) // writing to a hash never fails
-	return time.Duration(h.Sum32()%1000) * followerJitter / 1000
+	return h.Sum32()
 }
 
 // read applies what the log gained since the last read, or its newest values if
@@ -197,8 +257,12 @@
 	f.reads.Inc(1)
 	sentAt := f.clock.Now()
 	if from := f.view.End(l); f.view.Staleness(l) < neverRead {
-		changes, end, err := f.store.Read(ctx, l, from, 0)
+		wait := f.readWait(l)
+		changes, end, err := f.store.Read(ctx, l, from, wait)
 		if err == nil {
+			if now := f.clock.Now(); len(changes) == 0 && now >= sentAt+wait {
+				sentAt += wait // the store found no change until then
+			}
 			f.view.Apply(l, changes, end, sentAt)
 			return nil
 		}
@@ -215,9 +279,20 @@
 	return nil
 }
 
-// neverRead is below the staleness that the view reports for a log that was never
-// read, and above any other staleness.
-const neverRead = 1 << 61
+// readWait returns how long the store is to hold a read of a log open.
+func (f *Feed) readWait(l view.Log) time.Duration {
+	if l == view.Operators && f.roles.IsReader() {
+		return operatorsWait
+	}
+	return 0
+}
+
+const (
+	// neverRead is below the staleness that the view reports for a log that was never
+	// read, and above any other staleness. never is above both.
+	neverRead = 1 << 61
+	never     = 1<<63 - 1
+)
 
 // recordResult records the result of a read. It reports whether the store is
 // unavailable, and logs when an outage begins and when it ends.
--- a/node/feed/feed_test.go
+++ b/node/feed/feed_test.go
@@ -1,8 +1,10 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,16 +20,20 @@
 
 // emptyStore returns no changes from reads, or refuses them.
 type emptyStore struct {
-	reads   atomic.Int64
-	refuses atomic.Bool
+	reads      atomic.Int64
+	otherReads atomic.Int64 // reads of logs other than the system log
+	refuses    atomic.Bool
 }
 
-func (s *emptyStore) Newest(context.Context, view.Log) ([]view.Change, int64, error) {
-	return s.Read(context.Background(), 0, 0, 0)
+func (s *emptyStore) Newest(_ context.Context, l view.Log) ([]view.Change, int64, error) {
+	return s.Read(context.Background(), l, 0, 0)
 }
 
-func (s *emptyStore) Read(_ context.Context, _ view.Log, from int64, _ time.Duration) ([]view.Change, int64, error) {
+func (s *emptyStore) Read(_ context.Context, l view.Log, from int64, _ time.Duration) ([]view.Change, int64, error) {
 	s.reads.Add(1)
+	if l != view.System {
+		s.otherReads.Add(1)
+	}
 	if s.refuses.Load() {
 		return nil, 0, view.ErrRefused
 	}
@@ -94,3 +100,96 @@
 	time.Sleep(3 * time.Second)
 	assert.LessOrEqual(t, store.reads.Load()-before, int64(8))
 }
+
+// startWithVMs starts a feed with a view that knows only n registered VMs.
+func startWithVMs(t *testing.T, vm string, n int, s view.Store) *view.View {
+	c := clock.New()
+	v := view.New(c.Now, hclog.NewNullLogger())
+	var vms []view.Change
+	for i := range n {
+		id := fmt.Sprint("vm-", i)
+		vms = append(vms, view.Change{Log: view.System, Key: view.VMKey(id), Offset: int64(i), VM: &fleet.VM{ID: id}})
+	}
+	v.Apply(view.System, vms, int64(n), c.Now())
+	f := New(fleet.VM{ID: vm}, v, s, c, &follower{}, hclog.NewNullLogger(), metrics.NewRegistry())
+	require.NoError(t, f.Start(context.Background()))
+	t.Cleanup(func() { assert.NoError(t, f.Stop(context.Background())) })
+	return v
+}
+
+// vmsByRank returns the ids of n VMs, those first that read the store first at a start.
+func vmsByRank(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("vm-", i))
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(idHash(a), idHash(b)), cmp.Compare(a, b)) })
+	return ids
+}
+
+// Guards against a burst of reads when all VMs of a large fleet start, or one read of
+// each log for each VM that restarts: the first in rank read at once, the others leave
+// that to them, but read themselves if nobody passes the logs on.
+func TestStartingVMsLeaveTheLogsToFew(t *testing.T) {
+	const n = 200
+	ids := vmsByRank(n)
+	first, middle, last := &emptyStore{}, &emptyStore{}, &emptyStore{}
+	startWithVMs(t, ids[0], n, first)
+	startWithVMs(t, ids[50], n, middle)
+	startWithVMs(t, ids[n-1], n, last)
+	time.Sleep(startDelay(50) / 2)
+	assert.GreaterOrEqual(t, first.otherReads.Load(), int64(2))
+	assert.Zero(t, middle.otherReads.Load())
+	require.Eventually(t, func() bool { return middle.otherReads.Load() >= 2 }, startDelay(50)+time.Second, 10*time.Millisecond)
+	assert.Zero(t, last.otherReads.Load())
+	require.Eventually(t, func() bool { return last.otherReads.Load() >= 2 }, maxStartDelay+time.Second, 10*time.Millisecond)
+}
+
+// Guards against polling by all VMs while the deployment has no configuration yet: a few
+// poll often, so that a configuration is soon known, and the others seldom.
+func TestFewVMsPollForTheConfiguration(t *testing.T) {
+	const n, span = 40, 3 * time.Second
+	ids := vmsByRank(n)
+	poller, other := &emptyStore{}, &emptyStore{}
+	startWithVMs(t, ids[1], n, poller)
+	startWithVMs(t, ids[startPollers], n, other)
+	time.Sleep(span)
+	assert.GreaterOrEqual(t, poller.otherReads.Load(), int64(2*(span/pollerMaxStaleness-1)))
+	assert.LessOrEqual(t, other.otherReads.Load(), int64(2))
+}
+
+// reader is the Roles of the VM that reads the store for all others.
+type reader struct{ follower }
+
+func (*reader) IsReader() bool     { return true }
+func (*reader) LeadsAnyCell() bool { return true }
+
+// waitingStore holds reads open for as long as they ask, and counts those of the
+// operators' log.
+type waitingStore struct {
+	emptyStore
+	operators atomic.Int64
+}
+
+func (s *waitingStore) Read(ctx context.Context, l view.Log, from int64, wait time.Duration) ([]view.Change, int64, error) {
+	if l == view.Operators {
+		s.operators.Add(1)
+	}
+	time.Sleep(wait)
+	return s.emptyStore.Read(ctx, l, from, wait)
+}
+
+// Guards against a reader that polls the operators' log although the store can hold a
+// read open until something changes, and against a view that counts as older than it is
+// because of that, so that other VMs read the store themselves.
+func TestReaderLetsTheStoreWaitForOperators(t *testing.T) {
+	const span = 3 * time.Second
+	store := &waitingStore{}
+	v := startFeed(t, "vm", store, &reader{})
+	var oldest time.Duration
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		oldest = max(oldest, v.Staleness(view.Operators))
+	}
+	assert.LessOrEqual(t, store.operators.Load(), int64(span/(readerMaxStaleness+operatorsWait))+1)
+	assert.Less(t, oldest, followerMaxStaleness)
+}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -58,8 +58,9 @@
 
 // Position tells how far a log is known.
 type Position struct {
-	End int64         // offset after the last known record
-	Age time.Duration // time since the log was known to end there
+	Read bool          // whether the log was read; a log may be empty
+	End  int64         // offset after the last known record
+	Age  time.Duration // time since the log was known to end there
 }
 
 // Known summarizes what a VM's view contains, so that another VM can send what it lacks.
@@ -373,7 +374,7 @@
 		if !v.known[l] {
 			continue
 		}
-		b.Positions[l] = Position{End: v.ends[l], Age: now - v.freshAt[l]}
+		b.Positions[l] = Position{Read: true, End: v.ends[l], Age: now - v.freshAt[l]}
 		for _, e := range v.entries[l] {
 			if e.Offset < k.Ends[l] {
 				continue
@@ -442,14 +443,15 @@
 
 // Merge applies a batch that another VM has sent in answer to the summary advertised.
 // elapsed is how long the exchange took; it is added to the age of the positions. A log
-// is skipped if its changes cannot be decoded, if neither VM has read records of it, or
+// is skipped if its changes cannot be decoded, if neither VM has read it, or
 // if this view ends before the advertised end, so that records would be missing.
 func (v *View) Merge(b Batch, advertised Known, elapsed time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
 	for l := range numLogs {
-		if b.Positions[l].End == 0 && !v.known[l] || advertised.Ends[l] > v.ends[l] {
+		read := b.Positions[l].Read || b.Positions[l].End > 0
+		if !read && !v.known[l] || advertised.Ends[l] > v.ends[l] {
 			continue
 		}
 		var logChanges []Change
@@ -463,7 +465,7 @@
 			continue
 		}
 		v.apply(logChanges)
-		if b.Positions[l].End > 0 {
+		if read {
 			v.advance(l, b.Positions[l].End, now-elapsed-b.Positions[l].Age)
 		}
 	}
--- a/node/view/view_test.go
+++ b/node/view/view_test.go
@@ -193,3 +193,15 @@
 	c, _ := other.Cell("s")
 	assert.Equal(t, "b", c.Boot)
 }
+
+// Guards against VMs that all read an empty log themselves when a deployment starts: that
+// the log is empty can be learned from another VM too.
+func TestEmptyLogIsLearnedFromAnotherVM(t *testing.T) {
+	clock := func() time.Duration { return time.Second }
+	from, to := New(clock, hclog.NewNullLogger()), New(clock, hclog.NewNullLogger())
+	from.Apply(Targets, nil, 0, time.Second)
+	known := to.Known()
+	to.Merge(from.Since(known), known, 0)
+	assert.Zero(t, to.Staleness(Targets))
+	assert.Greater(t, to.Staleness(Operators), time.Hour, "the other VM has not read it")
+}
