A VM that restarts does not start from a view that lost the store

Cause: a VM that starts gets its logs from other VMs; one that is cut off from the store still lists targets that have left and configurations that were withdrawn. Change: a log that this VM has not read is taken from another VM only if that one's is at most 2 s old, or once the store has failed to answer this VM. Result: TestRestartDoesNotStartFromOldView failed before.

--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -309,6 +309,7 @@
 		return false
 	}
 	f.failedReads.Inc(1)
+	f.view.StoreFailed()
 	if f.failingSince == 0 {
 		f.failingSince = now
 	}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -103,10 +103,13 @@
 	ends    [numLogs]int64
 	freshAt [numLogs]time.Duration // when the log was last known to its end
 	known   [numLogs]bool          // whether the log was ever read
-	version uint64                 // incremented with each change
-	config  *fleet.Config
-	table   *fleet.Table
-	changed chan struct{}
+	// acceptOld is set once the store has failed to answer this VM, which then starts from
+	// what other VMs know, however old; see maxFirstAge.
+	acceptOld bool
+	version   uint64 // incremented with each change
+	config    *fleet.Config
+	table     *fleet.Table
+	changed   chan struct{}
 	// graceUntil is the end of the grace period after an outage of the store; see
 	// OutageEnded.
 	graceUntil   time.Duration
@@ -124,6 +127,11 @@
 	tombstoneTTL = 10 * time.Minute
 	// pruneInterval is the least time between two runs of prune.
 	pruneInterval = time.Minute
+	// maxFirstAge is the age up to which a VM that has just started takes a log from
+	// another VM. One that is cut off from the store may still list targets that have left
+	// and configurations that were withdrawn. VMs that reach the store or the reader are
+	// not that far behind.
+	maxFirstAge = 2 * time.Second
 )
 
 // New returns an empty view. now reads a monotonic clock that includes the time for
@@ -441,17 +449,25 @@
 	return nil
 }
 
+// StoreFailed tells the view that the store does not answer this VM.
+func (v *View) StoreFailed() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.acceptOld = true
+}
+
 // Merge applies a batch that another VM has sent in answer to the summary advertised.
 // elapsed is how long the exchange took; it is added to the age of the positions. A log
-// is skipped if its changes cannot be decoded, if neither VM has read it, or
-// if this view ends before the advertised end, so that records would be missing.
+// is skipped if its changes cannot be decoded, if neither VM has read it, if only the
+// other has and that longer ago than maxFirstAge, or if this view ends before the advertised end, so that records would be missing.
 func (v *View) Merge(b Batch, advertised Known, elapsed time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.now()
 	for l := range numLogs {
 		read := b.Positions[l].Read || b.Positions[l].End > 0
-		if !read && !v.known[l] || advertised.Ends[l] > v.ends[l] {
+		old := !v.known[l] && !v.acceptOld && elapsed+b.Positions[l].Age > maxFirstAge
+		if !read && !v.known[l] || old || advertised.Ends[l] > v.ends[l] {
 			continue
 		}
 		var logChanges []Change
--- a/node/view/view_test.go
+++ b/node/view/view_test.go
@@ -205,3 +205,35 @@
 	assert.Zero(t, to.Staleness(Targets))
 	assert.Greater(t, to.Staleness(Operators), time.Hour, "the other VM has not read it")
 }
+
+// Guards against targets that have left, and configurations that were withdrawn, that are
+// in use again after a restart: the VM that restarts must not start from the view of a VM
+// that has lost the store. If the store answers neither, that view is the best there is.
+func TestRestartDoesNotStartFromOldView(t *testing.T) {
+	now := time.Minute
+	clock := func() time.Duration { return now }
+	behind := New(clock, hclog.NewNullLogger())
+	behind.Apply(Operators, []Change{{Log: Operators, Key: "config", Offset: 3, Config: &fleet.Config{Version: 3}}}, 4, now)
+	behind.Apply(Targets, []Change{{Log: Targets, Key: "t", Offset: 5, Target: &fleet.Target{ID: "t", Service: "s"}}}, 6, now)
+	behind.Apply(System, nil, 1, now)
+	now += maxFirstAge + time.Millisecond
+
+	restarted := New(clock, hclog.NewNullLogger())
+	merge := func() {
+		known := restarted.Known()
+		restarted.Merge(behind.Since(known), known, 0)
+	}
+	merge()
+	assert.False(t, restarted.Ready())
+	assert.Empty(t, restarted.TargetsOf("s"))
+	restarted.Apply(Targets, nil, 8, now)
+	merge()
+	assert.Empty(t, restarted.TargetsOf("s"), "the store has told that the target has left")
+
+	alone := New(clock, hclog.NewNullLogger())
+	alone.StoreFailed()
+	known := alone.Known()
+	alone.Merge(behind.Since(known), known, 0)
+	assert.True(t, alone.Ready())
+	assert.Len(t, alone.TargetsOf("s"), 1)
+}
