--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -99,9 +100,16 @@
 	stop       context.CancelFunc
 }
 
+// processLoopback returns a loopback address that other test processes don't use: they
+// could take a port between its choice and the start of the VM.
+func processLoopback() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid)|1).String()
+}
+
 // startVM starts a VM that is registered in the store and stops when the test ends.
 func startVM(t *testing.T, id string, store view.Store) *testVM {
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
 	require.NoError(t, err)
 	address := free.Addr().String()
 	free.Close()
