--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -93,7 +92,7 @@
 		callers.Wait()
 		<-stopped
 	}
-	t.Log(fmt.Sprintf("%d answered, %d cut", answered.Load(), cut.Load()))
+	t.Logf("%d answered, %d cut", answered.Load(), cut.Load())
 	assert.Zero(t, cut.Load(), "accepted requests without an answer")
 	assert.Greater(t, answered.Load(), int64(stops*12))
 }
