Test of answers without end: leave out what is allocated during the collection

The test read HeapAlloc after a collection, while 64 targets went on sending. A trace beside eight busy processes: heap 102 MB, of it 90 MB allocated during the collection (70 of 116, 63 of 58, 57 of 95, 49 of 23), so the figure counted garbage that this collection does not free. Change: the bound of 64 MB stays and holds for what survives the collection; in addition the memory reserved for bodies must never exceed its budget.

--- a/node/upstream/endless_test.go
+++ b/node/upstream/endless_test.go
@@ -111,10 +111,15 @@
 			a.Release()
 		}
 		if n%20 == 0 {
-			runtime.GC() // what is left is in use
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			most = max(most, m.HeapAlloc)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			// Answers go on being read during the collection. What is allocated in it is
+			// not collected, and is mostly garbage too.
+			allocated := after.TotalAlloc - before.TotalAlloc
+			most = max(most, after.HeapAlloc-min(after.HeapAlloc, allocated))
+			assert.LessOrEqual(t, c.memory.used.Load(), c.AnswerMemory)
 		}
 	}
 	sick.Wait()
