A planned stop cuts off no request that a VM has accepted

Cause: a stop closed the listening socket with connections pending in the kernel, which resets them; it took a kept connection for idle although bytes of a request had been read from it; and a SIGHUP, or a second SIGTERM, that came while the process started or stopped ended it at once. The platform sends both.

Change: after the notice the listener accepts connections until none arrives for 100 ms (500 ms at most) and none is pending, and only then closes; the gateway follows the state of each connection and closes those on which nothing is in progress or arriving; the wait for the notice follows its context. SIGHUP is caught for the whole life of the process, a repeated SIGTERM does nothing, a second SIGINT still kills.

TestStopAcceptsPendingConnections tests the new listener alone.

--- a/cmd/mangogate/platform.go
+++ b/cmd/mangogate/platform.go
@@ -40,8 +40,14 @@
 
 // servePlatform runs one VM until SIGTERM or SIGINT and then shuts it down
 // gracefully; a failed shutdown is only logged. A positive metricsPort exposes the
-// metrics on the IP of the VM.
+// metrics on the IP of the VM. SIGHUP and a repeated SIGTERM never end the process:
+// either may come while it starts or stops. A second SIGINT kills it.
 func servePlatform(ctx context.Context, path string, metricsPort int) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return cli.Exit(err.Error(), usage.ExitCode)
@@ -58,15 +64,13 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	logger.Info("starting", "settings", path, "data_centre", s.Zone)
 	if err := r.Start(ctx); err != nil {
 		return err
 	}
 	logger.Info("started")
-	watchSettings(ctx, path, s, r, logger)
-	stop() // a second signal kills the process at once
+	watchSettings(ctx, reload, path, s, r, logger)
+	signal.Reset(syscall.SIGINT)
 	logger.Info("stopping")
 	if err := r.Stop(context.Background()); err != nil {
 		logger.Warn("shutdown failed", "error", err)
@@ -76,13 +80,10 @@
 	return nil
 }
 
-// watchSettings applies the settings file on SIGHUP and whenever its modification
-// time changes, until ctx ends. An invalid or missing file is logged and leaves the
-// settings unchanged.
-func watchSettings(ctx context.Context, path string, current *platform.Settings, r *router.Router, logger hclog.Logger) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
-	defer signal.Stop(sighup)
+// watchSettings applies the settings file on each signal from reload and whenever its
+// modification time changes, until ctx ends. An invalid or missing file is logged and
+// leaves the settings unchanged.
+func watchSettings(ctx context.Context, reload <-chan os.Signal, path string, current *platform.Settings, r *router.Router, logger hclog.Logger) {
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	lastModified := modificationTime(path)
@@ -91,7 +92,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-reload:
 		case <-ticker.C:
 			latest := modificationTime(path)
 			if latest.Equal(lastModified) {
--- a/node/gateway/listener.go
+++ b/node/gateway/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/mangogate/mangogate/core/fleet"
@@ -18,6 +19,14 @@
 	// configured, before it uses defaultLimits.
 	maxConfigWait      = 1500 * time.Millisecond
 	configPollInterval = 20 * time.Millisecond
+	// A listener that stops accepts connections until none has arrived for
+	// acceptQuiet, for maxAcceptQuiet at most: load balancers may go on sending.
+	acceptQuiet    = 100 * time.Millisecond
+	maxAcceptQuiet = 500 * time.Millisecond
+	// firstRequestWait is how long a stop waits for the first byte on a new connection.
+	firstRequestWait = 2 * time.Second
+	// drainPollInterval is the interval at which a stop looks for connections to close.
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // defaultLimits apply if the configured limits are not known when the listener
@@ -40,13 +49,26 @@
 	readinessAddress string
 	drain            func() Drain
 	servers          []*http.Server
-	callerServer     *http.Server
+	callers          *drainListener
+	callersServed    chan struct{} // closed when no connection is accepted any more
+
+	mu    sync.Mutex
+	conns map[net.Conn]callerState // open connections of callers
+}
+
+// callerState is what the HTTP server says of a connection.
+type callerState struct {
+	state http.ConnState
+	since time.Time
 }
 
 // NewListener returns a listener on the given addresses for callers and for
 // readiness checks. The function drain is called when the listener stops.
 func NewListener(g *Gateway, callerAddress, readinessAddress string, drain func() Drain) *Listener {
-	return &Listener{gateway: g, callerAddress: callerAddress, readinessAddress: readinessAddress, drain: drain}
+	return &Listener{
+		gateway: g, callerAddress: callerAddress, readinessAddress: readinessAddress, drain: drain,
+		callersServed: make(chan struct{}), conns: map[net.Conn]callerState{},
+	}
 }
 
 // Name implements kernel.Module.
@@ -55,15 +77,26 @@
 // Start implements kernel.Starter. It serves readiness checks before it waits
 // for the configuration.
 func (l *Listener) Start(ctx context.Context) error {
-	if err := l.serve(l.readinessAddress, &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: defaultLimits.HeaderTimeout}); err != nil {
+	readiness, err := net.Listen("tcp", l.readinessAddress)
+	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
+	go l.serve(readiness, &http.Server{Handler: http.HandlerFunc(l.handleReadiness), ReadHeaderTimeout: defaultLimits.HeaderTimeout})
 	limits := l.awaitLimits(ctx)
-	l.callerServer = &http.Server{
+	callers, err := net.Listen("tcp", l.callerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	l.callers = newDrainListener(callers.(*net.TCPListener))
+	s := &http.Server{
 		Handler: l.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-		MaxHeaderBytes: limits.HeaderBytes,
+		MaxHeaderBytes: limits.HeaderBytes, ConnState: l.recordState,
 	}
-	return errors.Wrap(l.serve(l.callerAddress, l.callerServer), "listen for callers")
+	go func() {
+		defer close(l.callersServed)
+		l.serve(l.callers, s)
+	}()
+	return nil
 }
 
 // awaitLimits returns the configured limits, or defaultLimits if they are still
@@ -77,18 +110,28 @@
 	return defaultLimits
 }
 
-func (l *Listener) serve(address string, s *http.Server) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
+// serve accepts connections until the listener or the server is closed.
+func (l *Listener) serve(from net.Listener, s *http.Server) {
+	l.mu.Lock()
 	l.servers = append(l.servers, s)
-	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			l.gateway.logger.Error("HTTP listener failed", "address", address, "error", err)
-		}
-	}()
-	return nil
+	l.mu.Unlock()
+	if err := s.Serve(from); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		l.gateway.logger.Error("HTTP listener failed", "address", from.Addr().String(), "error", err)
+	}
+}
+
+// recordState implements http.Server.ConnState for connections of callers.
+func (l *Listener) recordState(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(l.conns, c)
+		return
+	case http.StateIdle:
+		c.(*callerConn).received.Store(false)
+	}
+	l.conns[c] = callerState{state: state, since: time.Now()}
 }
 
 // handleReadiness answers 503 while the gateway is stopping or its view is not
@@ -105,12 +148,59 @@
 func (l *Listener) Stop(ctx context.Context) error {
 	l.gateway.closing.Store(true)
 	d := l.drain()
-	time.Sleep(d.Notice)
-	ctx, cancel := context.WithTimeout(ctx, d.Grace-d.Notice)
+	ctx, cancel := context.WithTimeout(ctx, d.Grace)
 	defer cancel()
-	err := l.callerServer.Shutdown(ctx)
-	for _, s := range l.servers {
+	defer l.close()
+	if err := sleep(ctx, d.Notice); err != nil {
+		return errors.Wrap(err, "wait for the load balancer to notice the stop")
+	}
+	l.callers.drain(acceptQuiet, maxAcceptQuiet)
+	select {
+	case <-l.callersServed:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "accept the last connections of callers")
+	}
+	for l.closeUnused() > 0 {
+		if err := sleep(ctx, drainPollInterval); err != nil {
+			return errors.Wrap(err, "finish the requests of callers")
+		}
+	}
+	return nil
+}
+
+// closeUnused closes the connections of callers on which no request is in progress
+// or arriving, and returns the number of the others.
+func (l *Listener) closeUnused() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	left := 0
+	for c, s := range l.conns {
+		mayExpectRequest := s.state == http.StateActive || s.state == http.StateNew && time.Since(s.since) < firstRequestWait
+		if mayExpectRequest || !c.(*callerConn).isUnused() {
+			left++
+			continue
+		}
+		c.Close() // the server then forgets it
+	}
+	return left
+}
+
+// close ends all connections that are left.
+func (l *Listener) close() {
+	l.mu.Lock()
+	servers := l.servers
+	l.mu.Unlock()
+	for _, s := range servers {
 		s.Close()
 	}
-	return errors.Wrap(err, "finish the requests of callers")
+}
+
+// sleep waits for d. It returns the error of ctx if that ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -96,3 +96,63 @@
 	assert.Zero(t, cut.Load(), "accepted requests without an answer")
 	assert.Greater(t, answered.Load(), int64(stops*12))
 }
+
+// Guards against a planned stop that takes a kept connection for idle while a request
+// arrives on it: the first bytes were read before the idle connections are closed, the
+// rest arrives after it.
+func TestStopAnswersRequestThatArrivesAsIdleConnectionsClose(t *testing.T) {
+	drain := Drain{Notice: 100 * time.Millisecond, Grace: 5 * time.Second}
+	target := startTarget(t, func(c net.Conn, r *http.Request) { respond(c, r, "200 OK", "", "ran") })
+	l, address := startListener(t, drain, target)
+	exchange := func(c net.Conn, r *bufio.Reader, rest string) {
+		t.Helper()
+		_, err := io.WriteString(c, rest)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+	}
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	exchange(c, r, rawRequestHead+"cd") // the connection is kept open after it
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- l.Stop(context.Background()) }()
+	time.Sleep(drain.Notice / 2)
+	_, err = io.WriteString(c, rawRequestHead[:20])
+	require.NoError(t, err)
+	time.Sleep(4 * drain.Notice)
+	exchange(c, r, rawRequestHead[20:]+"cd")
+	require.NoError(t, <-stopped)
+}
+
+// Guards against connections that the kernel had established for the process when a
+// planned stop closed the listening socket: nobody had accepted them, and they were reset.
+func TestStopAcceptsPendingConnections(t *testing.T) {
+	const pending = 30
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := newDrainListener(tcp.(*net.TCPListener))
+	conns := make([]net.Conn, pending)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", tcp.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conns[i], "GET /a HTTP/1.1\r\nHost: h.example\r\n\r\n")
+		require.NoError(t, err)
+	}
+	l.drain(0, 0) // the wait for further connections has passed
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	for i, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err, "connection %d", i)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		c.Close()
+	}
+	require.ErrorIs(t, <-served, net.ErrClosed)
+	s.Close()
+}
