TestTurnsColdWithoutWarning slows its target tenfold also on a busy machine

Traced: with all processors in use a request occupied its slot for 35 to 43 ms in place of 10 ms, so a tenfold service time of 100 ms was a slowdown of about three, below the ratio of four at which a VM takes a target for cold.

Change: the test measures how long a request occupies a slot and slows the target tenfold from that, and gives requests 20 s, so that none is given up while the target works on it. What is checked is unchanged.

--- a/cmd/integration/cold_test.go
+++ b/cmd/integration/cold_test.go
@@ -10,7 +10,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-const slotsPerTarget = 3 // concurrency limit of each target of the cluster
+const (
+	slotsPerTarget = 3 // concurrency limit of each target of the cluster
+	// coldServiceTime is the service time of the targets in the tests of this file.
+	coldServiceTime = 10 * time.Millisecond
+)
 
 // waitFullLoad waits until each target is warm and has run as many requests at
 // once as it has slots, and returns how long that took.
@@ -46,7 +50,7 @@
 // data centre, are restarted; VMs may learn of it only by the new boot id.
 func TestColdStartUnderFullLoad(t *testing.T) {
 	c := startColdCluster(t, "--cold-completions", "8", "--cold-max-in-flight", "1")
-	loads := fullLoad(t, c)
+	loads := fullLoad(t, c, 5*time.Second)
 	waitFullLoad(t, c.Targets)
 	north := targetsIn(c, "north")
 	var all []*cluster.Target
@@ -70,12 +74,18 @@
 // first slow responses.
 func TestTurnsColdWithoutWarning(t *testing.T) {
 	c := startColdCluster(t, "--cold-completions", "60", "--cold-factor", "10", "--cold-max-in-flight", fmt.Sprint(slotsPerTarget))
-	loads := fullLoad(t, c)
+	// No request's time runs out: the target would go on working on it beside the next one.
+	loads := fullLoad(t, c, 20*time.Second)
 	waitFullLoad(t, c.Targets)
 	for _, tg := range []*cluster.Target{c.Targets[0], c.Targets[6]} {
 		waitServiceTimeKnown(t, tg)
 		before := targetStats(t, tg)
-		require.NoError(t, c.TargetFaults(t.Context(), tg, map[string]any{"turn_cold": true}))
+		// On a machine whose processors are all in use, a request takes longer than its
+		// service time, and a tenfold service time would not be a tenfold slowdown.
+		usual := timeInSlot(t, tg)
+		slower := max(1, float64(usual)/float64(coldServiceTime))
+		t.Logf("%s: a request takes %v", tg.Name, usual.Round(time.Millisecond))
+		require.NoError(t, c.TargetFaults(t.Context(), tg, map[string]any{"turn_cold": true, "slow_factor": slower}))
 		began, calmPolls := time.Now(), 0
 		require.NoError(t, cluster.Wait(readyWithin, func() error {
 			calmPolls++
@@ -89,6 +99,7 @@
 			return nil
 		}))
 		t.Logf("%s: one request at a time after %v", tg.Name, time.Since(began).Round(time.Millisecond))
+		require.NoError(t, c.TargetFaults(t.Context(), tg, map[string]any{}))
 		if tg.Service == "status" {
 			// Checked for the keyed service only: a pool sends a slow target
 			// little more than probes and uses its other targets instead.
@@ -100,6 +111,16 @@
 	requireSafe(t, c, loads...)
 }
 
+// timeInSlot measures how long a request occupies a slot of a target under full load.
+func timeInSlot(t *testing.T, tg *cluster.Target) time.Duration {
+	t.Helper()
+	const span = time.Second
+	before, began := targetStats(t, tg), time.Now()
+	time.Sleep(span)
+	after, took := targetStats(t, tg), time.Since(began)
+	return slotsPerTarget * took / time.Duration(max(1, after.Reads+after.Writes-before.Reads-before.Writes))
+}
+
 // waitServiceTimeKnown waits until a target has run enough requests for the
 // estimate of its usual service time to settle at the warm value: it starts with the
 // cold first requests, and each later one has a weight of 1/128.
@@ -118,16 +139,16 @@
 	return startCluster(t, func(cfg *cluster.Config) {
 		cfg.VMs = 5
 		for i := range cfg.Services {
-			cfg.Services[i].TargetArgs = append([]string{"--service-time", "10ms", "--exit-on-fall-over"}, args...)
+			cfg.Services[i].TargetArgs = append([]string{"--service-time", coldServiceTime.String(), "--exit-on-fall-over"}, args...)
 		}
 	})
 }
 
 // fullLoad keeps more requests in flight than the targets have slots.
-func fullLoad(t *testing.T, c *cluster.Cluster) []*load {
+func fullLoad(t *testing.T, c *cluster.Cluster, deadline time.Duration) []*load {
 	t.Helper()
 	return []*load{
-		startLoad(t, c, "status", func(cfg *loadgen.Config) { cfg.Rate, cfg.Callers, cfg.Keys = 0, 40, 400 }),
-		startLoad(t, c, "bookings", func(cfg *loadgen.Config) { cfg.Rate, cfg.Callers = 0, 16 }),
+		startLoad(t, c, "status", func(cfg *loadgen.Config) { cfg.Rate, cfg.Callers, cfg.Keys, cfg.Deadline = 0, 40, 400, deadline }),
+		startLoad(t, c, "bookings", func(cfg *loadgen.Config) { cfg.Rate, cfg.Callers, cfg.Deadline = 0, 16, deadline }),
 	}
 }
