--- a/node/view/view.go
+++ b/node/view/view.go
@@ -268,7 +268,7 @@
 		if old != nil && old.latestOffset >= c.Offset {
 			continue
 		}
-		e := newEntry(c, now-c.Age)
+		e := newEntry(c, now-max(0, c.Age)) // nothing is fresher than now, whatever another VM says
 		if v.repeatsTarget(old, e) {
 			old.latestOffset = c.Offset
 			continue
@@ -482,7 +482,7 @@
 		}
 		v.apply(logChanges)
 		if read {
-			v.advance(l, b.Positions[l].End, now-elapsed-b.Positions[l].Age)
+			v.advance(l, b.Positions[l].End, now-elapsed-max(0, b.Positions[l].Age))
 		}
 	}
 }
