A renewal no longer makes a leader look at all waiting requests

Cause: the leader looked at every waiting request after each answer to a grant or release.

Change: keyspace.ReportResult tells whether any key has another owner or state, and only then the queues are looked at. Keys that their last holder has released are granted to the next owner at once, not in the next step, 50 ms later.

TestReleasedKeysAreGrantedAtOnce fails without its line.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -112,19 +112,24 @@
 // within that of the call. A grant without an answer also applies to the ranges that
 // only overlap it, after a merge or a move since it was sent: it may still give its
 // holder the keys that they share. handover is the holder's answer to a release and
-// is passed on to the next owner. Unknown IDs are ignored.
-func (m *Manager) ReportResult(now time.Duration, id uint64, result CallResult, handover string) {
+// is passed on to the next owner. Unknown IDs are ignored. ReportResult reports whether
+// Owner now tells something else for a key, which is rare: most calls are renewals.
+func (m *Manager) ReportResult(now time.Duration, id uint64, result CallResult, handover string) (ownersChanged bool) {
 	c, ok := m.calls[id]
 	if !ok {
-		return
+		return false
 	}
 	delete(m.calls, id)
 	c.done = true
+	_, failedBefore := m.failingSince[c.Holder]
 	m.recordReachability(now, c, result)
+	_, fails := m.failingSince[c.Holder]
+	ownersChanged = fails != failedBefore
 	for _, p := range m.ranges {
 		if p.To < c.From || p.From > c.To {
 			continue
 		}
+		held := p.held()
 		if c.Kind == Grant && result == NoAnswer {
 			p.extendHolds(c.Holder, c.expires)
 		}
@@ -136,7 +141,9 @@
 		} else {
 			p.grantDone(now, c, result, m.cfg)
 		}
+		ownersChanged = ownersChanged || p.held() != held
 	}
+	return ownersChanged
 }
 
 // recordReachability updates since when a holder has not answered, and whether
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -229,7 +229,7 @@
 	switch {
 	case p.Owner.Target == "":
 		return p.Owner, Lost, m.cfg.MaxHoldSinceSend()
-	case len(p.prior) == 0 && p.granted:
+	case p.held():
 		return p.Owner, Held, 0
 	case m.waitsForUnreachable(p):
 		return p.Owner, Lost, p.remainingWait(now)
@@ -237,6 +237,10 @@
 	return p.Owner, Moving, 0
 }
 
+// held reports whether the owner of a range has been granted it and nobody else may
+// hold it.
+func (p *keyRange) held() bool { return len(p.prior) == 0 && p.granted }
+
 // remainingWait returns how long the prior holders of a range may still hold it
 // or, if it has none, how long its owner may.
 func (p *keyRange) remainingWait(now time.Duration) time.Duration {
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -265,14 +265,15 @@
 	if a.Kind == keyspace.Release {
 		timeout = keyReleaseTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if a.Kind == keyspace.Release {
-		handover, result, err := l.s.keyCaller.Release(ctx, call)
+		handover, result, err := l.s.keyCaller.Release(callCtx, call)
 		l.finish(a, result, handover, err)
+		l.stepKeys(ctx) // grants the keys to their next owner, for which requests wait
 		return
 	}
-	result, err := l.s.keyCaller.Grant(ctx, call, l.mayGrant)
+	result, err := l.s.keyCaller.Grant(callCtx, call, l.mayGrant)
 	l.finish(a, result, "", err)
 }
 
@@ -286,13 +287,17 @@
 	}
 }
 
-// report is the part of finish that is done with mu held.
+// report is the part of finish that is done with mu held. It looks at the requests that
+// wait only if keys have become available or lost: there are as many renewals as ranges
+// every renewInterval.
 func (l *leadership) report(a keyspace.Action, result keyspace.CallResult, handover string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.keys.ReportResult(l.now(), a.ID, result, handover)
-	l.lender.Tick(l.now())
-	l.deliver()
+	now := l.now()
+	if l.keys.ReportResult(now, a.ID, result, handover) {
+		l.lender.Tick(now)
+		l.deliver()
+	}
 }
 
 // plan proposes new key assignments and starts to write them to the store, if the
