A VM that nobody answers knows so

Cause: the time that marks a lost leader as asked counted as an answer when a VM decided whether it is cut off, so a VM that reaches the store and no other VM took over cells as fast as one that the others reach.

Change: only answers count.

Measured: TestQuestionsAreNoAnswers failed before.

--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -79,8 +79,10 @@
 	mu                sync.Mutex
 	leaderships       map[string]*leadership
 	localLenders      map[string]*lenderDriver
-	claiming          map[string]bool            // services whose cells this VM is claiming or taking over
-	lastHeard         map[string]time.Duration   // by VM id and boot: time of the process's last answer, or a time set by shouldAsk or markSilent
+	claiming          map[string]bool          // services whose cells this VM is claiming or taking over
+	lastHeard         map[string]time.Duration // by VM id and boot: time of the process's last answer, or a time set by shouldAsk or markSilent
+	anyAnswered       bool                     // another VM has answered, the last one at anyAnsweredAt
+	anyAnsweredAt     time.Duration
 	silentSince       map[string]time.Duration   // by service: since when shouldClaim has seen the same record and no answering leader
 	lastSeenCell      map[string]*fleet.Cell     // by service: the record that shouldClaim saw last
 	learnedFromLeader map[string]lending.Learned // by service: what its previous leader has learned about the targets
@@ -315,15 +317,10 @@
 	return now-since >= wait
 }
 
-// hasHeardAnyVM reports whether any other VM seems to answer: lastHeard has a time
-// within twice leaderTimeout. It is called with mu held.
+// hasHeardAnyVM reports whether any other VM has answered within twice leaderTimeout.
+// It is called with mu held.
 func (s *Service) hasHeardAnyVM(now time.Duration) bool {
-	for _, at := range s.lastHeard {
-		if now-at < 2*leaderTimeout {
-			return true
-		}
-	}
-	return false
+	return s.anyAnswered && now-s.anyAnsweredAt < 2*leaderTimeout
 }
 
 // rank returns how many VMs come before this one in the order in which VMs claim the
--- a/node/cell/support_test.go
+++ b/node/cell/support_test.go
@@ -107,3 +107,23 @@
 	l := next.leadershipOf("s")
 	require.Eventually(t, func() bool { return l.previousGrantsLeft() <= maxHoldAfterLease(fleet.ShortestHold) }, leaderLease/2, 10*time.Millisecond)
 }
+
+// Guards against a VM that is cut off from all others and takes over a cell as fast as
+// one that the others reach: the questions that its requests put to the lost leader
+// counted as answers.
+func TestQuestionsAreNoAnswers(t *testing.T) {
+	vm := startVM(t, "vm-0", &memoryStore{})
+	heard := func() bool {
+		vm.mu.Lock()
+		defer vm.mu.Unlock()
+		return vm.hasHeardAnyVM(vm.clock.Now())
+	}
+	silent := fleet.VM{ID: "vm-1", Boot: "b", PeerAddress: "127.0.0.1:1"}
+	require.True(t, vm.shouldAsk(silent), "one request asks a VM of which nothing is known")
+	require.False(t, vm.shouldAsk(silent))
+	require.False(t, heard())
+	vm.markSilent(silent.ID, silent.Boot)
+	require.False(t, heard())
+	vm.noteHeard(silent.ID, silent.Boot, silent.PeerAddress)
+	require.True(t, heard())
+}
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -145,7 +145,7 @@
 	if at, known := s.lastHeard[id+boot]; !known || now-at >= leaderTimeout {
 		s.logger.Info("VM answers", "vm", id, "boot", boot, "peer", address)
 	}
-	s.lastHeard[id+boot] = now
+	s.lastHeard[id+boot], s.anyAnsweredAt, s.anyAnswered = now, now, true
 }
 
 // noteLost logs that a process has stopped answering and deletes its entry in
