--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -595,3 +595,26 @@
 	}
 	assert.InDelta(t, 1.6/0.7, l.Slowness(targets[1].ID)/l.Slowness(targets[0].ID), 0.2)
 }
+
+// Guards against an overload of the target of a hot key while many VMs reach no leader
+// and lend its slots by themselves: together they must not send more than the target
+// runs and queues. Known to fail, see KNOWN-RED.txt.
+func TestHotKeyOfManyVMsWithoutLeaderFitsItsTarget(t *testing.T) {
+	const vms, slots, queued = 68, 3, 12
+	owner := func(time.Duration, int) Ownership { return Ownership{Target: "t0", State: Held} }
+	inFlight := 0
+	for range vms {
+		cfg := testConfig()
+		cfg.SlotsPerTarget = 1
+		l := newLender(cfg, owner, pool(1)...)
+		r := request(1, 0)
+		r.Key = 7
+		l.RequestSlot(0, r)
+		for _, d := range takeDecisions(l) {
+			if d.Lent {
+				inFlight++
+			}
+		}
+	}
+	assert.LessOrEqual(t, inFlight, slots+queued)
+}
--- a/node/gateway/drainlistener.go
+++ b/node/gateway/drainlistener.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"net"
 	"os"
 	"sync"
@@ -9,9 +8,13 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+// acceptPendingWithin limits the Accept of a connection that is known to be pending.
+const acceptPendingWithin = 100 * time.Millisecond
+
 // drainListener accepts the connections of callers. A listening socket that is closed
 // resets the connections that the kernel has established and that nobody has accepted;
 // drain accepts them first.
@@ -59,7 +62,8 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case hasInput(l.TCPListener):
-			// A pending connection is accepted although the time is over.
+			// A pending connection is accepted although the time is over. Accept reports
+			// a listener that is closed.
 			_ = l.SetDeadline(time.Now().Add(acceptPendingWithin))
 		default:
 			l.Close()
@@ -68,9 +72,6 @@
 	}
 }
 
-// acceptPendingWithin limits the Accept of a connection that is known to be pending.
-const acceptPendingWithin = 100 * time.Millisecond
-
 // callerConn is a connection of a caller. It knows whether bytes of a request have
 // been read that is not answered yet.
 type callerConn struct {
