--- a/cmd/soak/handover_test.go
+++ b/cmd/soak/handover_test.go
@@ -2,14 +2,9 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
-	"math/rand"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -23,27 +18,10 @@
 // startLoadedFleet builds the program and starts a fleet with callers, and checks of
 // owners, that run until the test ends. What the checker has found fails the test then.
 func startLoadedFleet(t *testing.T, seed int64, vms int) *fleet {
-	binary := filepath.Join(t.TempDir(), "mangogate")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/mangogate/mangogate/cmd/mangogate").CombinedOutput()
-	require.NoError(t, err, "%s", out)
-	f := newFleet(t, binary, seed, vms, 6, 3)
-	t.Cleanup(f.close)
-	require.Eventually(t, func() bool { return f.vms[0].ready() && f.vms[1].ready() }, 10*time.Second, 100*time.Millisecond, "VMs are not ready")
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	load := &load{f: f}
-	for i := range callerCount {
-		wg.Go(func() { load.call(ctx, rand.New(rand.NewSource(seed*100+int64(i))), i) })
-	}
-	wg.Go(func() {
-		for ctx.Err() == nil {
-			f.checker.checkOwners(f.targetsOf(keyedService))
-			time.Sleep(15 * time.Millisecond)
-		}
-	})
+	f := startReadyFleet(t, buildProgram(t), seed, vms)
+	load, stop := startLoad(f, seed)
 	t.Cleanup(func() {
-		cancel()
-		wg.Wait()
+		stop()
 		for _, p := range f.checker.violations {
 			t.Error(p)
 		}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -67,25 +67,36 @@
 // and the network overlap, and against service that does not recover after them:
 // 90 % of the requests must be served again recoveryLimit after the last fault.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "mangogate")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/mangogate/mangogate/cmd/mangogate").CombinedOutput()
-	require.NoError(t, err, "%s", out)
+	binary := buildProgram(t)
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soakOnce(t, binary, seed) })
 	}
 }
 
-func soakOnce(t *testing.T, binary string, seed int64) {
-	f := newFleet(t, binary, seed, intFromEnv(t, "MANGOGATE_SOAK_VMS", 5), 6, 3)
-	defer f.close()
+// buildProgram builds mangogate and returns the path of the program.
+func buildProgram(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "mangogate")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/mangogate/mangogate/cmd/mangogate").CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return binary
+}
+
+// startReadyFleet starts a fleet, which is closed when the test ends, and waits until
+// it serves.
+func startReadyFleet(t *testing.T, binary string, seed int64, vms int) *fleet {
+	f := newFleet(t, binary, seed, vms, 6, 3)
+	t.Cleanup(f.close)
 	require.Eventually(t, func() bool { return f.vms[0].ready() && f.vms[1].ready() }, 10*time.Second, 100*time.Millisecond, "VMs are not ready")
-	fi := &faultInjector{f: f, rng: rand.New(rand.NewSource(seed))}
-	f.checker.drainBoundLifted = fi.drainBoundLifted
+	return f
+}
+
+// startLoad starts callers and checks of owners. stop ends both.
+func startLoad(f *fleet, seed int64) (l *load, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	load := &load{f: f}
+	l = &load{f: f}
 	for i := range callerCount {
-		wg.Go(func() { load.call(ctx, rand.New(rand.NewSource(seed*100+int64(i))), i) })
+		wg.Go(func() { l.call(ctx, rand.New(rand.NewSource(seed*100+int64(i))), i) })
 	}
 	wg.Go(func() {
 		for ctx.Err() == nil {
@@ -93,6 +104,17 @@
 			time.Sleep(15 * time.Millisecond)
 		}
 	})
+	return l, func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func soakOnce(t *testing.T, binary string, seed int64) {
+	f := startReadyFleet(t, binary, seed, intFromEnv(t, "MANGOGATE_SOAK_VMS", 5))
+	fi := &faultInjector{f: f, rng: rand.New(rand.NewSource(seed))}
+	f.checker.drainBoundLifted = fi.drainBoundLifted
+	load, stop := startLoad(f, seed)
 	fi.run(faultDuration)
 	time.Sleep(settleTime)
 	f.drainOneOfEach()
@@ -100,8 +122,7 @@
 	load.begin()
 	time.Sleep(2 * time.Second)
 	served, total := load.end()
-	cancel()
-	wg.Wait()
+	stop()
 	for _, p := range f.checker.violations {
 		t.Error(p)
 	}
--- a/cmd/soak/stop_test.go
+++ b/cmd/soak/stop_test.go
@@ -9,8 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,12 +30,7 @@
 // against a process that ends at once because further signals arrive while it starts
 // or stops: the platform may repeat SIGTERM and sends SIGHUP whenever settings change.
 func TestPlannedStopOfProcessAnswersEveryAcceptedRequest(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "mangogate")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/mangogate/mangogate/cmd/mangogate").CombinedOutput()
-	require.NoError(t, err, "%s", out)
-	f := newFleet(t, binary, 41, 3, 6, 3)
-	defer f.close()
-	require.Eventually(t, func() bool { return f.vms[0].ready() && f.vms[1].ready() }, 10*time.Second, 100*time.Millisecond, "VMs are not ready")
+	f := startReadyFleet(t, buildProgram(t), 41, 3)
 	var answered atomic.Int64
 	for n := range plannedStops {
 		v := f.vms[n%len(f.vms)]
