A write whose caller has left while it waited is not sent

A request that is not idempotent is not given up when its caller leaves, since its outcome matters once it has been sent. But that held while it waited for a slot and for a connection, too: half a second later a target ran a booking that nobody waited for, and that its caller may have made elsewhere meanwhile.

Change: the wait for a slot ends when the caller leaves, and so does the attempt before its first byte; the slot is returned unused and the target is not held responsible.

Measured: TestWriteOfCallerThatLeftWhileItWaitedIsNotSent failed before (the target got the second write).

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -117,6 +117,7 @@
 	w             http.ResponseWriter
 	r             *http.Request
 	ctx           context.Context // ends answerSlack after the deadline, or earlier if callerContext ends
+	waitCtx       context.Context // the same, but ends when the caller disconnects: of a request that waits, nothing was sent
 	route         *fleet.Route
 	configVersion int64
 	service       string
@@ -194,16 +195,19 @@
 		remaining = min(remaining, q.route.Timeout)
 	}
 	q.deadline = q.arrived + remaining
-	ctx, cancel := context.WithTimeout(q.callerContext(), q.deadline-q.g.clock.Now()+answerSlack)
+	limit := q.deadline - q.g.clock.Now() + answerSlack
+	ctx, cancel := context.WithTimeout(q.callerContext(), limit)
 	defer cancel()
-	q.ctx = ctx
+	waitCtx, cancelWait := context.WithTimeout(q.r.Context(), limit)
+	defer cancelWait()
+	q.ctx, q.waitCtx = ctx, waitCtx
 	q.fingerprint = fingerprint(q.r, body)
 	q.sendUntilAnswered()
 }
 
 // callerContext returns a context that ends when the caller disconnects, or, if
 // the request is not idempotent, one that never ends: the outcome of such a
-// request matters even if nobody waits for the answer.
+// request matters even if nobody waits for the answer, once it has been sent.
 func (q *request) callerContext() context.Context {
 	if q.route.Idempotent {
 		return q.r.Context()
@@ -253,7 +257,7 @@
 // refused, or out of time.
 func (q *request) sendUntilAnswered() {
 	for {
-		slot, err := q.g.cells.AcquireSlot(q.ctx, q.slotRequest())
+		slot, err := q.g.cells.AcquireSlot(q.waitCtx, q.slotRequest())
 		if err != nil {
 			q.handleWaitEnd(err)
 			return
@@ -309,9 +313,9 @@
 // and true if it has ended.
 func (q *request) send(slot cell.Slot) bool {
 	remaining := q.deadline - q.g.clock.Now()
-	if remaining <= 0 {
+	if err := q.waitCtx.Err(); err != nil || remaining <= 0 {
 		q.g.cells.Return(slot, lending.Usage{Result: lending.Unused})
-		q.handleWaitEnd(context.DeadlineExceeded)
+		q.handleWaitEnd(err)
 		return true
 	}
 	q.attempts++
@@ -320,7 +324,7 @@
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
 		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
-		NewConnection: q.answeredBy[slot.Target],
+		NewConnection: q.answeredBy[slot.Target], BeforeSend: q.waitCtx.Err,
 	})
 	if err != nil {
 		return q.handleSendError(slot, err)
@@ -409,7 +413,7 @@
 	}
 	switch {
 	case failed == nil || !failed.Sent:
-		if q.ctx.Err() != nil {
+		if q.waitCtx.Err() != nil {
 			return lending.Unused, false
 		}
 		return lending.ConnectionRefused, false
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -255,3 +256,37 @@
 	assert.EqualValues(t, 1, ran.Load(), "runs of the write")
 	assert.Equal(t, http.StatusOK, resp.StatusCode, body)
 }
+
+// Guards against a write that a target runs although its caller has left while the write
+// waited for a slot: nothing had been sent, and the caller may have asked elsewhere.
+func TestWriteOfCallerThatLeftWhileItWaitedIsNotSent(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	target := startTarget(t, func(c net.Conn, r *http.Request) {
+		close(running) // a second request would close it again
+		<-finish
+		respond(c, r, "200 OK", "", "ran")
+	})
+	s := newGateway(t, true, target)
+	var callers sync.WaitGroup
+	callers.Go(func() { call(t, s, http.MethodPost, "/write/first", "x") })
+	<-running // the only slot that a VM without a leader lends is in use
+
+	ctx, leave := context.WithCancel(t.Context())
+	callers.Go(func() {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/write/second", strings.NewReader("x"))
+		if !assert.NoError(t, err) {
+			return
+		}
+		req.Host = "h.example"
+		req.Header.Set("Id", "r2")
+		_, err = http.DefaultClient.Do(req)
+		assert.ErrorIs(t, err, context.Canceled)
+	})
+	time.Sleep(50 * time.Millisecond)
+	leave()
+	time.Sleep(50 * time.Millisecond)
+	close(finish)
+	callers.Wait()
+	time.Sleep(200 * time.Millisecond)
+	assert.EqualValues(t, 1, target.requests.Load())
+}
