A planned stop passes on no request that it may have to cut off

Seen by callers of similar systems: in a planned stop, requests that came late in the grace were passed on and cut off with no answer when the process ended, writes among them. Here it can happen too.

Cause: a stop took any request that arrived on an open connection, whatever its deadline, and closed all connections when its time was over. A request that waited for a slot then was cut off as well. Late requests come on connections that were accepted near the end of the notice and on those whose header arrives slowly. A request that was in progress at SIGTERM was answered without Connection: close, so that its caller could send another one while the connection was being closed.

Change: the gateway holds the set of its requests in progress. Once a stop has begun, it takes only requests whose deadline lies before the end of the stop; it refuses any other at once as not run (503, Retry-After), those that wait for a slot among them. Requests that a target works on 0.1 s before the end are answered with outcome unknown. Connection: close is set when an answer is written, not when its request arrives.

Why it works: every request that is sent after SIGTERM ends by its own deadline before the stop does; one that was sent before it gets an answer before the connections are closed.

Cost: a request whose time is longer than what is left of the stop is refused although most of its kind would have been answered.

--- a/cmd/soak/stop_test.go
+++ b/cmd/soak/stop_test.go
@@ -95,3 +95,98 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err
 }
+
+// slowServiceTime is the work of a request in TestLateRequestsOfPlannedStopAreAnswered. A
+// request that arrives later than this before the end of the stop cannot be finished.
+const slowServiceTime = 1500 * time.Millisecond
+
+// Guards against writes that a process takes late in its stop, passes on, and cuts off
+// with no answer when it ends, and against ones that it refuses as not run although they
+// run: callers finish requests on open connections all through the stop.
+func TestLateRequestsOfPlannedStopAreAnswered(t *testing.T) {
+	const (
+		keptCallers = 4
+		spacing     = 50 * time.Millisecond
+		lastArrival = 4800 * time.Millisecond
+		headerTime  = 2700 * time.Millisecond // from the first byte of a request to its last; the limit is 3 s
+	)
+	f := startReadyFleet(t, buildProgram(t), 43, 3)
+	for _, m := range f.targetsOf(poolService) {
+		m.ServiceTime = slowServiceTime
+	}
+	v := f.vms[0]
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[int]int{}
+	book := func(c net.Conn, r *bufio.Reader, id string, wait time.Duration) (open bool) {
+		status, open, err := bookSlowly(c, r, id, wait)
+		f.checker.recordOutcome(id, writeOutcome(status, err))
+		mu.Lock()
+		defer mu.Unlock()
+		statuses[status]++
+		return assert.NoError(t, err, "request %s", id) && open
+	}
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.DialTimeout("tcp", v.ip+":8081", time.Second)
+		if !assert.NoError(t, err) {
+			return nil, nil
+		}
+		assert.NoError(t, c.SetDeadline(time.Now().Add(headerTime+2*callTimeout)))
+		return c, bufio.NewReader(c)
+	}
+	for n := range keptCallers {
+		callers.Go(func() {
+			c, r := dial()
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			for i, open := 0, true; open; i++ {
+				open = book(c, r, fmt.Sprintf("kept%d-%d", n, i), 0)
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	v.signal(syscall.SIGTERM)
+	for arrival := spacing; arrival <= lastArrival; arrival += spacing {
+		callers.Go(func() {
+			opened := max(0, arrival-headerTime)
+			time.Sleep(opened - time.Since(began))
+			c, r := dial()
+			if c == nil {
+				return
+			}
+			defer c.Close()
+			book(c, r, "late-"+arrival.String(), arrival-opened)
+		})
+	}
+	v.shutdown(syscall.SIGHUP)
+	assert.Less(t, time.Since(began), shutdownGrace)
+	callers.Wait()
+	for _, violation := range f.checker.violations {
+		t.Error(violation)
+	}
+	t.Logf("requests by status (0: no answer): %v", statuses)
+	assert.Positive(t, statuses[http.StatusOK])
+	assert.Positive(t, statuses[http.StatusServiceUnavailable])
+}
+
+// bookSlowly sends a write whose last byte follows the first after wait. It returns an
+// error unless the VM answers it. open reports whether the connection stays open.
+func bookSlowly(c net.Conn, r *bufio.Reader, id string, wait time.Duration) (status int, open bool, err error) {
+	if _, err := io.WriteString(c, "POST /book/x HTTP/1.1\r\n"); err != nil {
+		return 0, false, err
+	}
+	time.Sleep(wait)
+	_, err = fmt.Fprintf(c, "Host: soak.example\r\nAttempt-Id: %s\r\nRequest-Deadline: %d\r\nContent-Length: 2\r\n\r\n{}", id, callTimeout.Milliseconds())
+	if err != nil {
+		return 0, false, err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, !resp.Close, err
+}
--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -43,7 +43,7 @@
 // refuse answers 503: the request was not run and will not be. The caller may
 // retry after retryAfter.
 func (q *request) refuse(reason string, retryAfter time.Duration) {
-	q.g.codec.Refuse(q.w.Header(), q.Meta, retryAfter)
+	q.g.codec.Refuse(q.header(), q.Meta, retryAfter)
 	q.writeProblem(http.StatusServiceUnavailable, problem{"not-run", reason, q.ID})
 	q.recordEnd("refused: "+reason, http.StatusServiceUnavailable, "", nil)
 }
@@ -77,13 +77,23 @@
 	q.answerUnknown("the router failed", q.avoid)
 }
 
+// header returns the header of the answer. During a stop, the connection is closed after
+// the answer, also if the request had arrived before the stop.
+func (q *request) header() http.Header {
+	h := q.w.Header()
+	if q.g.closing.Load() {
+		h.Set("Connection", "close")
+	}
+	return h
+}
+
 func (q *request) writeProblem(status int, p problem) {
 	q.answering = true
 	body, err := json.Marshal(p)
 	if err != nil {
 		body = nil // cannot happen: the struct holds only strings
 	}
-	q.w.Header().Set("Content-Type", "application/json")
+	q.header().Set("Content-Type", "application/json")
 	q.w.WriteHeader(status)
 	_, _ = q.w.Write(body) // a write error means that the caller disconnected
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -87,7 +87,7 @@
 	logger     hclog.Logger
 	guard      *panics.Guard
 	closing    atomic.Bool
-	active     atomic.Int64
+	inProgress requestSet
 	stats      *stats
 }
 
@@ -107,6 +107,7 @@
 	return &Gateway{
 		vm: c.VM.ID, dataCentre: c.VM.DataCentre, codec: c.Codec, view: c.View, cells: c.Cells, targets: c.Targets,
 		clock: c.Clock, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
+		inProgress: requestSet{requests: map[*request]struct{}{}},
 	}
 }
 
@@ -116,8 +117,9 @@
 	g             *Gateway
 	w             http.ResponseWriter
 	r             *http.Request
-	ctx           context.Context // ends answerSlack after the deadline, or earlier if callerContext ends
-	waitCtx       context.Context // the same, but ends when the caller disconnects: of a request that waits, nothing was sent
+	ctx           context.Context         // ends answerSlack after the deadline, or earlier if callerContext ends
+	waitCtx       context.Context         // the same, but ends when the caller disconnects: of a request that waits, nothing was sent
+	end, endWait  context.CancelCauseFunc // of ctx and waitCtx
 	route         *fleet.Route
 	configVersion int64
 	service       string
@@ -135,11 +137,6 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
-	if g.closing.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	q := &request{g: g, w: w, r: r, arrived: g.clock.Now()}
 	defer g.guard.RecoverThen(q.answerAfterPanic, "serve a request", "method", r.Method, "path", r.URL.Path)
 	meta, err := g.codec.Request(r.Header)
@@ -162,6 +159,13 @@
 	}
 }
 
+// beginStop makes every answer close its connection, and refuses the requests that may
+// still be in progress after the given time.
+func (g *Gateway) beginStop(within time.Duration) {
+	g.closing.Store(true)
+	g.inProgress.beginStop(g.clock.Now() + within)
+}
+
 // hostOnly returns the host without its port.
 func hostOnly(host string) string {
 	for i := len(host) - 1; i >= 0; i-- {
@@ -195,16 +199,34 @@
 		remaining = min(remaining, q.route.Timeout)
 	}
 	q.deadline = q.arrived + remaining
-	limit := q.deadline - q.g.clock.Now() + answerSlack
-	ctx, cancel := context.WithTimeout(q.callerContext(), limit)
-	defer cancel()
-	waitCtx, cancelWait := context.WithTimeout(q.r.Context(), limit)
-	defer cancelWait()
-	q.ctx, q.waitCtx = ctx, waitCtx
+	limit := q.lastAnswerAt() - q.g.clock.Now()
+	var release, releaseWait func()
+	q.ctx, q.end, release = withLimit(q.callerContext(), limit)
+	defer release()
+	q.waitCtx, q.endWait, releaseWait = withLimit(q.r.Context(), limit)
+	defer releaseWait()
+	if !q.g.inProgress.add(q) {
+		q.refuse("stopping", defaultRetryAfter)
+		return
+	}
+	defer q.g.inProgress.remove(q)
 	q.fingerprint = fingerprint(q.r, body)
 	q.sendUntilAnswered()
 }
 
+// lastAnswerAt is the clock reading until which an answer is waited for.
+func (q *request) lastAnswerAt() time.Duration { return q.deadline + answerSlack }
+
+// withLimit returns a context that ends after limit, or earlier with the cause given to end.
+func withLimit(parent context.Context, limit time.Duration) (ctx context.Context, end context.CancelCauseFunc, release func()) {
+	ctx, end = context.WithCancelCause(parent)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	return ctx, end, func() {
+		cancel()
+		end(nil)
+	}
+}
+
 // callerContext returns a context that ends when the caller disconnects, or, if
 // the request is not idempotent, one that never ends: the outcome of such a
 // request matters even if nobody waits for the answer, once it has been sent.
@@ -296,12 +318,17 @@
 	q.refuse(string(slot.Reason), slot.RetryAfter)
 }
 
-// handleWaitEnd ends a request whose deadline passed, or whose caller
-// disconnected, before the next attempt was sent.
+// handleWaitEnd ends a request whose deadline passed, whose caller disconnected, or
+// that may outlast a stop, before the next attempt was sent.
 func (q *request) handleWaitEnd(err error) {
+	stopping := context.Cause(q.waitCtx) == errStopping
 	switch {
 	case q.r.Context().Err() != nil:
 		q.recordEnd("caller-left", 0, "", err)
+	case stopping && q.mayHaveRun:
+		q.answerUnknown(errStopping.Error(), q.avoid)
+	case stopping:
+		q.refuse("stopping", defaultRetryAfter)
 	case q.mayHaveRun:
 		q.answerUnknown("its time ran out", q.avoid)
 	default:
@@ -396,6 +423,8 @@
 		q.recordEnd("caller-left", 0, slot.Target, err)
 	case retry:
 		return false
+	case context.Cause(q.ctx) == errStopping && q.mayHaveRun:
+		q.answerUnknown(errStopping.Error(), slot.Target)
 	case q.mayHaveRun:
 		q.answerUnknown("no answer from target", slot.Target)
 	default:
@@ -417,8 +446,8 @@
 			return lending.Unused, false
 		}
 		return lending.ConnectionRefused, false
-	case q.r.Context().Err() != nil && q.route.Idempotent:
-		return lending.Unused, true // the caller disconnected, which is no failure of the target
+	case q.r.Context().Err() != nil && q.route.Idempotent, context.Cause(q.ctx) == errStopping:
+		return lending.Unused, true // the caller disconnected or the process stops, which is no failure of the target
 	case q.ctx.Err() != nil:
 		return lending.TimedOut, true
 	}
@@ -427,7 +456,7 @@
 
 // deliver writes the target's answer to the caller.
 func (q *request) deliver(slot cell.Slot, a *upstream.Answer) {
-	h := q.w.Header()
+	h := q.header()
 	for name, values := range a.Header {
 		if !hopByHop[name] {
 			h[name] = values
--- a/node/gateway/listener.go
+++ b/node/gateway/listener.go
@@ -25,6 +25,9 @@
 	maxAcceptQuiet = 500 * time.Millisecond
 	// firstRequestWait is how long a stop waits for the first byte on a new connection.
 	firstRequestWait = 2 * time.Second
+	// answerReserve is the time at the end of a stop in which the requests that are still
+	// in progress are answered.
+	answerReserve = 100 * time.Millisecond
 	// drainPollInterval is the interval at which a stop looks for connections to close.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -38,7 +41,8 @@
 	// Notice is how long new connections are still accepted after the readiness
 	// check begins to fail, so that the load balancer can remove the VM first.
 	Notice time.Duration
-	// Grace limits the duration of the whole stop, including Notice.
+	// Grace limits the duration of the whole stop, including Notice. A request whose time
+	// ends later is not sent to a target any more.
 	Grace time.Duration
 }
 
@@ -144,10 +148,13 @@
 
 // Stop makes the readiness checks fail, accepts new connections for Drain.Notice
 // more, because the load balancer stops sending requests only after several failed
-// checks, and then waits, within Drain.Grace, for the requests in progress.
+// checks, and then waits, within Drain.Grace, for the requests in progress. Those that
+// are left at its end are answered with outcome unknown.
 func (l *Listener) Stop(ctx context.Context) error {
-	l.gateway.closing.Store(true)
 	d := l.drain()
+	l.gateway.beginStop(d.Grace - answerReserve)
+	giveUp := time.AfterFunc(d.Grace-answerReserve, l.gateway.inProgress.endAll)
+	defer giveUp.Stop()
 	ctx, cancel := context.WithTimeout(ctx, d.Grace)
 	defer cancel()
 	defer l.close()
--- a/node/gateway/stop_test.go
+++ b/node/gateway/stop_test.go
@@ -156,3 +156,122 @@
 	require.ErrorIs(t, <-served, net.ErrClosed)
 	s.Close()
 }
+
+// openRequest sends the first bytes of a request on a new connection. finish sends the
+// rest and returns the answer.
+func openRequest(t *testing.T, address, request string) (finish func() (*http.Response, string, error)) {
+	const first = 20
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = io.WriteString(c, request[:first])
+	require.NoError(t, err)
+	return func() (*http.Response, string, error) {
+		if _, err := io.WriteString(c, request[first:]); err != nil {
+			return nil, "", err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return nil, "", err
+		}
+		body, err := io.ReadAll(resp.Body)
+		return resp, string(body), err
+	}
+}
+
+// Guards against a write that arrives late in a planned stop, is passed on, and is cut off
+// with no answer when the process has to end: it must be refused as not run, at once. One
+// whose time ends before that is served.
+func TestStopPassesOnNoRequestThatItMayHaveToCutOff(t *testing.T) {
+	drain := Drain{Notice: 100 * time.Millisecond, Grace: 2 * time.Second}
+	const arrival, work = 1400 * time.Millisecond, 800 * time.Millisecond // after the start of the stop
+	var slow atomic.Int32
+	target := startTarget(t, func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/write/slow" {
+			slow.Add(1)
+			time.Sleep(work)
+		}
+		respond(c, r, "200 OK", "", "ran")
+	})
+	l, address := startListener(t, drain, target)
+	write := func(path, headers string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nId: r\r\n" + headers + "Content-Length: 4\r\n\r\nabcd"
+	}
+	finishSlow := openRequest(t, address, write("/write/slow", ""))
+	finishQuick := openRequest(t, address, write("/write/quick", "Wait-Ms: 300\r\n"))
+	stopped := make(chan error, 1)
+	go func() { stopped <- l.Stop(context.Background()) }()
+	time.Sleep(arrival)
+
+	resp, body, err := finishQuick()
+	if assert.NoError(t, err, "a write whose time ends before the process") {
+		assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+		assert.True(t, resp.Close)
+	}
+	began := time.Now()
+	resp, body, err = finishSlow()
+	if assert.NoError(t, err, "a write whose time ends after the process") {
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		assert.Contains(t, body, `"not-run"`)
+		assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+		assert.True(t, resp.Close)
+		assert.Less(t, time.Since(began), drain.Grace-arrival, "the refusal came only as the process ended")
+	}
+	require.NoError(t, <-stopped)
+	assert.Zero(t, slow.Load(), "runs of a write that was refused")
+}
+
+// Guards against requests that a planned stop ends with no answer when its time is over:
+// one that waits for a slot then is refused as not run, at once if its time ends after the
+// process, and one that a target still works on is answered with outcome unknown.
+func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	drain := Drain{Notice: 50 * time.Millisecond, Grace: 600 * time.Millisecond}
+	running, finish := make(chan struct{}), make(chan struct{})
+	target := startTarget(t, func(c net.Conn, r *http.Request) {
+		close(running) // a second request would close it again
+		<-finish
+		respond(c, r, "200 OK", "", "ran")
+	})
+	defer close(finish)
+	l, address := startListener(t, drain, target)
+	type answer struct {
+		resp *http.Response
+		body string
+		err  error
+		took time.Duration // since the start of the stop
+	}
+	var began time.Time
+	send := func() <-chan answer {
+		finish, answers := openRequest(t, address, rawRequestHead+"cd"), make(chan answer, 1)
+		go func() {
+			resp, body, err := finish()
+			answers <- answer{resp, body, err, time.Since(began)}
+		}()
+		return answers
+	}
+	atTarget := send()
+	<-running // the only slot that a VM without a leader lends is in use
+	waiting := send()
+	time.Sleep(50 * time.Millisecond)
+	began = time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- l.Stop(context.Background()) }()
+
+	a := <-waiting
+	if assert.NoError(t, a.err, "the request that waits") {
+		assert.Equal(t, http.StatusServiceUnavailable, a.resp.StatusCode)
+		assert.Contains(t, a.body, `"not-run"`)
+		assert.NotEmpty(t, a.resp.Header.Get("Retry-After"))
+		assert.True(t, a.resp.Close)
+		assert.Less(t, a.took, drain.Grace/2, "the refusal came only as the process ended")
+	}
+	a = <-atTarget
+	if assert.NoError(t, a.err, "the request at a target") {
+		assert.Equal(t, http.StatusBadGateway, a.resp.StatusCode)
+		assert.Contains(t, a.body, `"unknown"`)
+		assert.Empty(t, a.resp.Header.Get("Retry-After"))
+		assert.True(t, a.resp.Close)
+	}
+	require.NoError(t, <-stopped)
+	assert.EqualValues(t, 1, target.requests.Load())
+}
