A leader that resumes after a handover waits for prior holders

Callers could meet two holders of a key: a leader whose handover was not answered grants keys again from a new record of its own.

Cause: resume built the key manager with a bound of zero for grants of the time before, so each prior holder that the record names counted as expired at once, also one that had released nothing, and its keys were granted on. Class: knowledge in memory is dropped and its replacement, a bound, is too low.

Change: the bound is the longest time for which the last grants can hold.

Result: TestResumedLeaderWaitsForPriorHolders failed before (the next owner got the key 0.25 s after the last grant to a holder that answers no release; grants last 1.8 s) and passes now.

--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -165,7 +165,8 @@
 }
 
 // resume restarts the leadership of a cell from a new record of this VM. Assignments
-// that were proposed on top of the previous record are dropped.
+// that were proposed on top of the previous record are dropped. Owners and prior holders
+// may hold keys by the last grants before the handover.
 func (s *Service) resume(l *leadership, number int64) {
 	cfg, _ := s.view.Config()
 	svc, ok := cfg.Service(l.service)
@@ -178,7 +179,7 @@
 	s.mu.Lock()
 	s.learnedFromLeader[l.service] = learned
 	s.mu.Unlock()
-	s.startLeading(l.service, s.inherit(svc, 0), number)
+	s.startLeading(l.service, s.inherit(svc, maxHoldAfterLease(l.hold)), number)
 }
 
 // StoreUnavailable is called when the store does not answer this VM. It starts to hand
--- a/node/cell/handover_test.go
+++ b/node/cell/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,3 +209,55 @@
 		return len(c.Keys) > 0 && c.Keys[0].Owner.Target == "u"
 	}, 3*time.Second, 10*time.Millisecond, "the dropped assignment was not proposed again")
 }
+
+// unreachableHolder is a KeyCaller whose target "t" answers no release. It records when
+// "t" accepted its last grant and when "u" got its first one.
+type unreachableHolder struct {
+	acceptAll
+	mu                    sync.Mutex
+	lastToOld, firstToNew time.Time
+}
+
+func (c *unreachableHolder) Grant(ctx context.Context, call KeyCall, beforeSend func() error) (keyspace.CallResult, error) {
+	result, err := c.acceptAll.Grant(ctx, call, beforeSend)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch now := time.Now(); {
+	case err != nil:
+	case call.Target == "t":
+		c.lastToOld = now
+	case c.firstToNew.IsZero():
+		c.firstToNew = now
+	}
+	return result, err
+}
+
+func (c *unreachableHolder) Release(ctx context.Context, _ KeyCall) (string, keyspace.CallResult, error) {
+	<-ctx.Done()
+	return "", keyspace.NoAnswer, ctx.Err()
+}
+
+// Guards against two holders of a key after a handover in which no candidate answered. The
+// leader writes its record again and goes on from it; a prior holder that has not
+// released the keys holds them until its last grant has expired.
+func TestResumedLeaderWaitsForPriorHolders(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	calls := &unreachableHolder{}
+	leader.keyCaller = calls
+	require.Eventually(t, func() bool { calls.mu.Lock(); defer calls.mu.Unlock(); return !calls.lastToOld.IsZero() }, 2*time.Second, 5*time.Millisecond)
+	replaceTarget(append(others, leader))
+	require.Eventually(t, func() bool {
+		c, _ := leader.view.Cell("s")
+		return c.Keys[0].Owner.Target == "u" && len(c.Keys[0].Prior) == 1
+	}, 2*time.Second, 5*time.Millisecond)
+	others[0].disconnect()
+	l := leader.leadershipOf("s")
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	leader.handOver(ctx, l, leader.leaderCandidates("s"), "a test")
+	require.Eventually(t, func() bool { calls.mu.Lock(); defer calls.mu.Unlock(); return !calls.firstToNew.IsZero() }, 10*time.Second, 5*time.Millisecond)
+	calls.mu.Lock()
+	defer calls.mu.Unlock()
+	assert.GreaterOrEqual(t, calls.firstToNew.Sub(calls.lastToOld), fleet.ShortestHold)
+}
