A store that was restored from an older copy is followed

Cause: the view orders records by their offsets alone, and a restored store gives lower offsets out again. So no record counted until the log had outgrown what the VM knew, and a read that brought nothing new was a success, repeated at once. Class: a number that is unique only within one history is taken for an order over all histories.

Change: the position of a record consists of the era of the store (header Store-Era) and the offset, so that positions, and the fences that derive from them, rise across restores. A read of another era than the view's gives the newest values instead. The view compares these with what it knows: targets that left, withdrawn evacuations and older configurations do not come back with the copy, and what the copy lacks stays for a while, so that its writer can write it again. VMs pass this on by the same rules and register again if the copy lacks their entry. A read that does not bring the view up to date is followed by a delay, whatever its reason.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -81,6 +81,8 @@
 	Boot        string // differs for each start of the process
 	// Cores is the processor time that the VM may use, in cores.
 	Cores float64
+	// Era is the era of the store that the process knew when it registered.
+	Era int64
 }
 
 func (c *Config) Service(name string) (Service, bool) {
@@ -145,7 +147,10 @@
 	Boot    string // VM.Boot of the leader's process
 	// Change differs for each version of the record that a process writes.
 	Change uint64
-	Keys   []keyspace.Assignment
+	// Era is the era of the store that the writer knew. A record of an earlier era than the
+	// store's was restored from a copy, and later ones of its era may be lost.
+	Era  int64
+	Keys []keyspace.Assignment
 	// Hold is how long the leader's grants of keys last; 0 in records of earlier versions,
 	// whose grants last for ShortestHold.
 	Hold time.Duration
--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -63,6 +63,9 @@
 	// often enough to do so before the lease expires.
 	nonLeaderSystemMaxStaleness = 1200 * time.Millisecond
 	pollInterval                = 50 * time.Millisecond // between checks of the staleness
+	// firstReadPollInterval is the interval of the checks whether the system log has been
+	// read for the first time. The VM registers then.
+	firstReadPollInterval = 5 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay after a failed call. Once its view
 	// is ready, a VM that leads no cell waits up to maxNonLeaderBackoff, because
 	// leaders pass changes on to it when the store is available again.
@@ -142,36 +145,62 @@
 	return nil
 }
 
-// register appends this VM's entry to the system log, and retries until that
-// succeeds.
+// register appends this VM's entry to the system log, once this VM has read that log and
+// again whenever a restored store lacks the entry. It retries until that succeeds.
 func (f *Feed) register(ctx context.Context) {
 	defer f.wg.Done()
+	registeredIn := int64(-1) // era of the last registration
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		_, err := f.store.Append(ctx, view.Change{Log: view.System, Key: view.VMKey(f.self.ID), VM: &f.self}, view.AnyOffset)
+		era := view.Era(f.view.End(view.System))
+		if f.view.Staleness(view.System) >= neverRead || era == registeredIn || registeredIn >= 0 && f.view.IsRegistered(f.self) {
+			sleep(ctx, f.registrationCheckInterval(registeredIn >= 0))
+			continue
+		}
+		vm := f.self
+		vm.Era = era
+		position, err := f.store.Append(ctx, view.Change{Log: view.System, Key: view.VMKey(f.self.ID), VM: &vm}, view.AnyOffset)
 		if err == nil {
-			f.logger.Info("registered this VM in the system log", "vm", f.self.ID, "boot", f.self.Boot)
-			return
+			f.logger.Info("registered this VM in the system log", "vm", f.self.ID, "boot", f.self.Boot, "era", era, "position", position)
+			registeredIn, backoff = era, minBackoff
+			for ctx.Err() == nil && view.Era(position) > view.Era(f.view.End(view.System)) {
+				registeredIn = -1 // the entry names an earlier era than the store's
+				sleep(ctx, pollInterval)
+			}
+			continue
 		}
-		f.logger.Info("registration failed; retrying", "error", err)
+		f.logger.Info("registration failed; retrying", "error", err, "era", era)
 		sleep(ctx, backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+// registrationCheckInterval returns the interval at which register checks whether the VM
+// is to be registered.
+func (f *Feed) registrationCheckInterval(registered bool) time.Duration {
+	if registered {
+		return pollInterval * 4
+	}
+	return firstReadPollInterval
+}
+
 // follow reads a log whenever the view of it is too stale, until ctx ends.
 func (f *Feed) follow(ctx context.Context, l view.Log) {
 	defer f.wg.Done()
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		if f.view.Staleness(l) < f.maxStaleness(l) {
+		if f.view.Staleness(l) < f.maxStaleness(l) && !f.mustFollowRestore(l) {
 			sleep(ctx, pollInterval)
 			continue
 		}
+		knownAt := f.clock.Now() - f.view.Staleness(l)
 		err := f.read(ctx, l)
 		if f.recordResult(err) {
 			f.roles.StoreUnavailable()
 		}
+		if err == nil && f.clock.Now()-f.view.Staleness(l) <= knownAt {
+			err = errUselessAnswer
+		}
 		if err == nil || ctx.Err() != nil {
 			backoff = minBackoff
 			continue
@@ -181,6 +210,15 @@
 	}
 }
 
+// errUselessAnswer means that an answer of the store did not bring the view up to date.
+var errUselessAnswer = errors.New("the answer of the store does not bring the view up to date")
+
+// mustFollowRestore reports whether this VM is to read a log at once because another log
+// shows that the store was restored.
+func (f *Feed) mustFollowRestore(l view.Log) bool {
+	return f.view.IsBehind(l) && (f.roles.IsReader() || f.roles.LeadsAnyCell())
+}
+
 // backoffLimit returns the longest delay after a failed call.
 func (f *Feed) backoffLimit() time.Duration {
 	if f.view.Ready() && !f.roles.LeadsAnyCell() {
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -1,6 +1,7 @@
 // Package view holds a VM's replica of the state of the deployment, which is kept in
 // three logs of the store. The VM reads them itself or fetches changes from other VMs.
-// A change of a key never replaces one with a higher offset.
+// A change of a key never replaces one at a higher position. After the store was restored
+// from an older copy, the view keeps what it knows better than the copy; see Replace.
 package view
 
 import (
@@ -41,7 +42,7 @@
 type Change struct {
 	Log    Log
 	Key    string
-	Offset int64
+	Offset int64         // position of the record in the log; see PositionOf
 	Age    time.Duration // time since a VM read the change from the store
 	Config *fleet.Config
 	OutOf  string // data centre that is out of service
@@ -59,13 +60,13 @@
 // Position tells how far a log is known.
 type Position struct {
 	Read bool          // whether the log was read; a log may be empty
-	End  int64         // offset after the last known record
+	End  int64         // position after the last known record
 	Age  time.Duration // time since the log was known to end there
 }
 
 // Known summarizes what a VM's view contains, so that another VM can send what it lacks.
 type Known struct {
-	Ends  [numLogs]int64         // offsets up to which the logs are known
+	Ends  [numLogs]int64         // positions up to which the logs are known
 	Cells map[string]CellVersion // by service
 }
 
@@ -84,7 +85,8 @@
 
 type entry struct {
 	Change
-	latestOffset int64                  // offset of the newest record of the key, which may have repeated the value
+	latestOffset int64                  // position of the newest record of the key, which may have repeated the value
+	shadowed     bool                   // the store holds a later record of the key that is not valid; cells only
 	seenAt       time.Duration          // when a VM read the change from the store
 	packed       func() (Change, error) // the change as sent to other VMs, computed once
 }
@@ -119,6 +121,14 @@
 	// addresses: the targets may still hold keys.
 	goneTargets map[string]*entry
 	prunedAt    time.Duration
+	// What a restored store said otherwise than the view, in force from settleAt on unless
+	// the store has changed it by then.
+	unsettled []Change
+	settleAt  time.Duration
+	// previousEra is the era of the log System before the last restore, and
+	// previousFreshAt when the log was last known to its end in it.
+	previousEra     int64
+	previousFreshAt time.Duration
 }
 
 const (
@@ -132,6 +142,8 @@
 	// and configurations that were withdrawn. VMs that reach the store or the reader are
 	// not that far behind.
 	maxFirstAge = 2 * time.Second
+	// neverKnown is the staleness of what was never read.
+	neverKnown = time.Duration(1 << 62)
 )
 
 // New returns an empty view. now reads a monotonic clock that includes the time for
@@ -169,7 +181,7 @@
 	return v.version, v.changed
 }
 
-// End returns the offset up to which a log is known.
+// End returns the position up to which a log is known.
 func (v *View) End(l Log) int64 {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -196,7 +208,7 @@
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if !v.known[l] {
-		return 1 << 62
+		return neverKnown
 	}
 	return v.now() - v.freshAt[l]
 }
@@ -211,10 +223,18 @@
 }
 
 // Replace applies the newest values of all keys of a log, as returned by Store.Newest.
-// It removes the other keys, unless the view already knows the log beyond end.
+// It removes the other keys, unless the view already knows the log beyond end. If the log
+// is in a later era than the view, the store was restored from a copy that may be older
+// than the view: what the view knows better stays, and the rest is applied at once or
+// after restoreSettleTime; see reconcile.
 func (v *View) Replace(l Log, changes []Change, end int64, began time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.isRestored(l, end) {
+		v.apply(v.reconcile(l, changes, end, true))
+		v.advance(l, end, began)
+		return
+	}
 	if end >= v.ends[l] {
 		present := make(map[string]bool, len(changes))
 		for _, c := range changes {
@@ -253,6 +273,7 @@
 // below the one already known.
 func (v *View) advance(l Log, end int64, began time.Duration) {
 	v.prune()
+	v.settle()
 	if end >= v.ends[l] {
 		v.ends[l] = end
 		v.freshAt[l] = max(v.freshAt[l], began)
@@ -265,7 +286,7 @@
 	now, any := v.now(), false
 	for _, c := range changes {
 		old := v.entries[c.Log][c.Key]
-		if old != nil && old.latestOffset >= c.Offset {
+		if old != nil && !old.isReplacedBy(&c) {
 			continue
 		}
 		e := newEntry(c, now-max(0, c.Age)) // nothing is fresher than now, whatever another VM says
@@ -402,6 +423,11 @@
 			b.Changes = append(b.Changes, c)
 		}
 	}
+	for _, c := range v.unsettled { // they concern only VMs that know as much as this one
+		if c.Offset >= k.Ends[c.Log] {
+			b.Changes = append(b.Changes, c)
+		}
+	}
 	slices.SortFunc(b.Changes, func(a, b Change) int { return int(a.Offset - b.Offset) })
 	return b
 }
@@ -480,6 +506,9 @@
 			v.logger.Error("could not decode changes from another VM; dropping them", "log", l, "end", b.Positions[l].End, "error", err)
 			continue
 		}
+		if read && v.isRestored(l, b.Positions[l].End) {
+			logChanges = v.reconcile(l, logChanges, b.Positions[l].End, false)
+		}
 		v.apply(logChanges)
 		if read {
 			v.advance(l, b.Positions[l].End, now-elapsed-max(0, b.Positions[l].Age))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -29,8 +29,9 @@
 }
 
 type record struct {
-	key   string
-	value []byte
+	key        string
+	value      []byte
+	appendedAt time.Time
 }
 
 type topic struct {
@@ -38,12 +39,20 @@
 	firstOffset int // lowest offset that can still be read
 }
 
+// ownTopic is the topic that the router writes. The other topics belong to operators and
+// targets, which write again what a restored store has lost.
+const ownTopic = "keyed.mangogate"
+
+// eraHeader is the header of every answer with the store's era.
+const eraHeader = "Store-Era"
+
 // Server is the simulated store. It is an http.Handler.
 type Server struct {
 	mu       sync.Mutex
 	topics   map[string]*topic
 	faults   Faults
 	rng      *rand.Rand
+	era      int64         // incremented by each Restore
 	appended chan struct{} // closed and replaced by each append to any topic
 }
 
@@ -68,7 +77,39 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.append(name, record{key, content})
+	s.append(name, record{key: key, value: content})
+}
+
+// Restore replaces the content of the store by a copy of the given age. Later records are
+// lost and their offsets are given out again. Operators and targets then write again the
+// newest value of each of their keys that the copy lacks.
+func (s *Server) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	copiedAt := time.Now().Add(-age)
+	for name, t := range s.topics {
+		kept := 0
+		for kept < len(t.records) && !t.records[kept].appendedAt.After(copiedAt) {
+			kept++
+		}
+		lost := t.records[kept:]
+		t.records, t.firstOffset = slices.Clone(t.records[:kept]), min(t.firstOffset, kept)
+		if name == ownTopic {
+			continue
+		}
+		newest := map[string]int{}
+		for i, r := range lost {
+			newest[r.key] = i
+		}
+		for i, r := range lost {
+			if newest[r.key] == i {
+				s.append(name, record{key: r.key, value: r.value})
+			}
+		}
+	}
+	close(s.appended)
+	s.appended = make(chan struct{})
 }
 
 // Compact discards the history of a topic: reads of its present records are
@@ -85,6 +126,7 @@
 // offset. It must be called with mu held.
 func (s *Server) append(name string, r record) int {
 	t := s.openTopic(name)
+	r.appendedAt = time.Now()
 	t.records = append(t.records, r)
 	close(s.appended)
 	s.appended = make(chan struct{})
@@ -105,6 +147,7 @@
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	s.mu.Lock()
 	f := s.faults
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
 	if f.Refuse || f.RejectIPs[ip] {
@@ -132,7 +175,7 @@
 	}
 	encoded := body[4:]
 	key := string(encoded[1 : 1+encoded[0]])
-	entry := record{key, encoded[1+encoded[0]:]}
+	entry := record{key: key, value: encoded[1+encoded[0]:]}
 	s.mu.Lock()
 	loseAnswer := s.rng.Float64() < f.LoseRate
 	s.mu.Unlock()
@@ -171,8 +214,9 @@
 		s.mu.Lock()
 		t, changed := s.openTopic(name), s.appended
 		records, first := slices.Clone(t.records), t.firstOffset
+		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10)) // it may have risen during the wait
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > len(records) {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
