A restored store gives no key a second holder

Cause: a VM that reads a restored store takes the record there for the newest, although the leader's later records, which moved keys, are lost; it goes on from it at once. A VM whose registration is lost counts as ended, so that its cells are claimed without a wait. A leader counts the store's word for an old record as a confirmation. Class: the state that is read is taken for the newest that was written.

Change: a record of a cell names the era in which it was written, which orders records across restores. A leader whose lease was not broken writes its assignments again as a record of the new era, with the holders as it knows them; until then only the lease of the earlier era counts. Any other claimant asks all VMs for later records, waits until leaders that it does not know must have stopped, and grants nothing before their last grants have expired. An append that the store carries out late, in the wrong era, is overwritten. A write that finds another era ends, and its proposal is withdrawn.

Why it works: positions, and so fences, rise; a leader with an unbroken lease is the last that moved keys, since its successor would have waited for that lease; all others wait for the longest time that a lost leader's grants can last.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -20,6 +20,9 @@
 // Step returns the calls that are due. mayRun reports whether the process of a
 // holder may still run; a holder whose process has ended holds nothing.
 func (m *Manager) Step(now time.Duration, mayRun func(Holder) bool) []Action {
+	if m.waitsForUnknown(now) {
+		return nil
+	}
 	var out []Action
 	alive := func(h Holder) bool { return !m.ended[h] && mayRun(h) }
 	for _, p := range m.ranges {
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -138,7 +138,7 @@
 //
 // Invariants: the ranges cover all keys without overlap; a grant for a range is
 // sent only after each prior hold was released, has expired or has ended with its
-// process; two calls for overlapping ranges are never in flight to one target.
+// process, and after each hold that a lost assignment may have given has expired; two calls for overlapping ranges are never in flight to one target.
 type Manager struct {
 	cfg     Config
 	ranges  []*keyRange // sorted by From
@@ -153,6 +153,9 @@
 	// priorManagerHoldBound is the latest time at which grants of the prior manager
 	// may be in effect.
 	priorManagerHoldBound time.Duration
+	// unknownHolders is set if targets that no stored assignment names may hold keys up to
+	// priorManagerHoldBound. Until then no call is sent.
+	unknownHolders bool
 }
 
 // proposal is a change that the store has not committed yet.
@@ -175,6 +178,16 @@
 	return m
 }
 
+// ExpectUnknownHolders tells the manager that later assignments than the stored ones may
+// have been lost, so that any target may hold any key up to the bound given to New. No
+// key is granted before.
+func (m *Manager) ExpectUnknownHolders() { m.unknownHolders = true }
+
+// waitsForUnknown reports whether targets that no assignment names may hold keys.
+func (m *Manager) waitsForUnknown(now time.Duration) bool {
+	return m.unknownHolders && now < m.priorManagerHoldBound
+}
+
 // LowerPriorManagerHoldBound lowers the bound given to New. A bound earlier than the
 // expiry of a grant sent now is raised to that expiry, so that it also covers the
 // grants that this manager has sent.
@@ -231,6 +244,8 @@
 		return p.Owner, Lost, m.cfg.MaxHoldSinceSend()
 	case p.held():
 		return p.Owner, Held, 0
+	case m.waitsForUnknown(now):
+		return p.Owner, Lost, m.priorManagerHoldBound - now
 	case m.waitsForUnreachable(p):
 		return p.Owner, Lost, p.remainingWait(now)
 	}
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -275,3 +275,21 @@
 	require.Len(t, renewal, 1)
 	assert.Equal(t, testHold, renewal[0].Hold)
 }
+
+// Guards against a grant of keys that a target may hold by an assignment that the store
+// has lost: no grant or release may be sent before such holds have expired.
+func TestNothingIsGrantedWhileUnknownHoldersMayHoldKeys(t *testing.T) {
+	cfg := Config{Hold: time.Second, Renew: 300 * time.Millisecond, CallTimeout: 100 * time.Millisecond}
+	m := New(cfg, []Assignment{{From: 0, To: Keys - 1, Owner: Holder{Target: "a"}, Fence: 5, Prior: []Hold{{Holder{Target: "b"}, 4}}}}, 5*time.Second)
+	m.ExpectUnknownHolders()
+	alive := func(Holder) bool { return true }
+	require.Empty(t, m.Step(2*time.Second, alive))
+	_, state, wait := m.Owner(2*time.Second, 7)
+	require.Equal(t, Lost, state)
+	require.Equal(t, 3*time.Second, wait)
+	m.LowerPriorManagerHoldBound(2*time.Second, 4*time.Second)
+	require.Empty(t, m.Step(4*time.Second-1, alive))
+	calls := m.Step(4*time.Second, alive)
+	require.Len(t, calls, 1)
+	require.Equal(t, Grant, calls[0].Kind)
+}
--- a/core/keyspace/plan.go
+++ b/core/keyspace/plan.go
@@ -42,6 +42,10 @@
 	return out, true
 }
 
+// Withdraw drops the pending proposal: no record that the store holds makes it
+// effective.
+func (m *Manager) Withdraw() { m.pending = nil }
+
 // priorCleanupDelay is the least time from a commit until the record is rewritten
 // without prior holders that no longer hold keys. A new leader that reads a record
 // with such holders waits for them, although the new owners already serve the keys.
--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -27,19 +27,44 @@
 	log         []view.Change
 	lostReplies int // number of appends still to be carried out without acknowledgement
 	down        bool
+	era         int64 // incremented by restore
 }
 
 func (s *memoryStore) Newest(ctx context.Context, l view.Log) ([]view.Change, int64, error) {
-	return s.Read(ctx, l, 0, 0)
+	s.mu.Lock()
+	start := view.PositionOf(s.era, 0)
+	s.mu.Unlock()
+	return s.Read(ctx, l, start, 0)
 }
 
 func (s *memoryStore) Read(_ context.Context, l view.Log, from int64, _ time.Duration) ([]view.Change, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down || l != view.System {
+	switch {
+	case s.down || l != view.System:
 		return nil, 0, view.ErrRefused
+	case view.Era(from) != s.era || view.RawOffset(from) > int64(len(s.log)):
+		return nil, 0, view.ErrHistoryGone
 	}
-	return append([]view.Change(nil), s.log[from:]...), int64(len(s.log)), nil
+	changes := append([]view.Change(nil), s.log[view.RawOffset(from):]...)
+	for i := range changes {
+		changes[i].Offset = view.PositionOf(s.era, changes[i].Offset)
+	}
+	return changes, view.PositionOf(s.era, int64(len(s.log))), nil
+}
+
+// restore makes the store lose all records but the first n.
+func (s *memoryStore) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.era, s.down = s.log[:n:n], s.era+1, false
+}
+
+// size returns the number of records.
+func (s *memoryStore) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.log)
 }
 
 func (s *memoryStore) Append(_ context.Context, c view.Change, end int64) (int64, error) {
@@ -48,16 +73,20 @@
 	switch {
 	case s.down:
 		return 0, view.ErrRefused
-	case end != view.AnyOffset && end != int64(len(s.log)):
+	case end != view.AnyOffset && view.RawOffset(end) != int64(len(s.log)):
 		return 0, view.ErrConflict
 	}
 	c.Log, c.Offset = view.System, int64(len(s.log))
 	s.log = append(s.log, c)
+	position := view.PositionOf(s.era, c.Offset)
+	if end != view.AnyOffset && end != position {
+		return 0, view.ErrOutcomeUnknown
+	}
 	if s.lostReplies > 0 {
 		s.lostReplies--
 		return 0, view.ErrOutcomeUnknown
 	}
-	return c.Offset, nil
+	return position, nil
 }
 
 func (s *memoryStore) setDown(down bool) {
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -16,6 +16,11 @@
 // also have written the record itself, for example in reclaim.
 var errCellChanged = errors.New("another record of the cell was written, usually by a new leader")
 
+// errStoreRestored means that the store was restored from an older copy since a decision
+// was made: the log has another end, and records that the decision was based on may be
+// lost.
+var errStoreRestored = errors.New("the store was restored from an older copy")
+
 // appendRetryDelay is the delay before a failed append is retried.
 const appendRetryDelay = 100 * time.Millisecond
 
@@ -23,13 +28,17 @@
 // not grown since this VM last read it, and returns the record's number. Only the log
 // shows the outcome of an append that the store did not acknowledge, so write reads it
 // and retries until the outcome is known or ctx ends. It returns errCellChanged if
-// another record of the cell was written instead.
+// another record of the cell was written instead, and errStoreRestored if the store was
+// restored meanwhile.
 func (s *Service) write(ctx context.Context, c *fleet.Cell) (int64, error) {
 	previous, _ := s.view.Cell(c.Service)
-	c.Change = rand.Uint64()
+	c.Change, c.Era = rand.Uint64(), view.Era(s.view.End(view.System))
 	change := view.Change{Log: view.System, Key: view.CellKey(c.Service), Cell: c}
 	for {
 		end := s.view.End(view.System)
+		if view.Era(end) != c.Era {
+			return 0, errStoreRestored
+		}
 		began := s.clock.Now()
 		offset, err := s.store.Append(ctx, change, end)
 		if err == nil {
@@ -46,8 +55,12 @@
 		}
 		if err := s.readSystem(ctx); err != nil {
 			s.logger.Info("could not read the system's log to find the outcome of an append", "error", err)
+			time.Sleep(appendRetryDelay)
 			continue
 		}
+		if view.Era(s.view.End(view.System)) != c.Era {
+			return 0, errStoreRestored
+		}
 		current, number := s.view.Cell(c.Service)
 		switch {
 		case current != nil && current.Change == c.Change && current.Boot == c.Boot:
@@ -79,11 +92,23 @@
 	}
 }
 
+// succession is what a claimant knows of the grants of previous leaders.
+type succession struct {
+	// grantBound returns, once the claim is written, for how long previous leaders may
+	// still grant keys.
+	grantBound func() time.Duration
+	// continuous tells that the leader named in the record held its lease until it gave
+	// way to the claimant, so that no later record of another leader can be lost.
+	continuous bool
+	// afterRestore tells that grantBound also holds for leaders whose records are lost.
+	afterRestore bool
+}
+
 // claim makes this VM the leader of a cell by writing a record that names it. seen is
 // the record that the decision to claim was based on; if the cell has another leader
-// by now, claim returns errCellChanged. bound is called after the write and returns
-// for how long from then on the previous leader may still grant keys.
-func (s *Service) claim(ctx context.Context, svc fleet.Service, seen *fleet.Cell, bound func() time.Duration) error {
+// by now, claim returns errCellChanged. If the store was restored and later records of the
+// cell may be lost, no key is granted before all grants of such leaders have expired.
+func (s *Service) claim(ctx context.Context, svc fleet.Service, seen *fleet.Cell, p succession) error {
 	if err := s.readSystem(ctx); err != nil {
 		return errors.Wrap(err, "read the system's log before claiming a cell")
 	}
@@ -91,6 +116,10 @@
 	if !sameLeader(current, seen) {
 		return errCellChanged
 	}
+	recordsLost := s.view.IsCellRestored(svc.Name) && !p.continuous
+	if recordsLost && !p.afterRestore {
+		return errStoreRestored
+	}
 	record := &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot}
 	if svc.Keyed {
 		cfg, _ := s.view.Config()
@@ -101,7 +130,16 @@
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
-	s.startLeading(svc.Name, s.inherit(svc, bound()+maxHoldAfterLease(current.GrantHold())), number)
+	hold := current.GrantHold()
+	if recordsLost {
+		hold = fleet.LongestHold
+	}
+	m := s.inherit(svc, p.grantBound()+maxHoldAfterLease(hold))
+	if recordsLost && m != nil {
+		m.ExpectUnknownHolders()
+		s.logger.Warn("grants no keys until those that lost records may have granted are free", "service", svc.Name, "for", m.PriorManagerHoldBound()-s.clock.Now())
+	}
+	s.startLeading(svc.Name, m, number)
 	return nil
 }
 
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -147,7 +147,8 @@
 	}
 	// The leader may have asked another VM to be deputy and lost its answer. That deputy
 	// is assumed to stop granting keys within leaderLease, as a leader without support does.
-	if err := l.s.claim(ctx, svc, l.deputyFor, fixedBound(leaderLease)); err != nil {
+	p := succession{grantBound: fixedBound(leaderLease), continuous: l.holdsLease()}
+	if err := l.s.claim(ctx, svc, l.deputyFor, p); err != nil {
 		l.logger.Info("could not claim the cell", "error", err)
 	}
 }
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -36,6 +36,8 @@
 	Service string
 	Change  uint64 // Change of the record that names the present leader
 	Learned lending.Learned
+	// Record is that record if a restored store may lack it.
+	Record []view.Change
 }
 
 // TakeReply is the result of a Take call.
@@ -76,12 +78,19 @@
 // this VM grants keys again: at once if all candidates refused, otherwise by reclaim.
 func (s *Service) handOver(ctx context.Context, l *leadership, candidates []fleet.VM, why string) {
 	c, _ := s.view.Cell(l.service)
+	restored := s.view.IsCellRestored(l.service)
+	if restored && l.keys != nil && !l.holdsLease() {
+		return // the successor could not rely on the lease
+	}
 	if c == nil || !l.isCurrent() || !l.handoverStarted.CompareAndSwap(false, true) {
 		return
 	}
 	l.mu.Lock()
 	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned()}
 	l.mu.Unlock()
+	if restored {
+		args.Record = s.recordOf(l.service)
+	}
 	refused := true
 	for _, vm := range candidates {
 		var reply TakeReply
@@ -155,6 +164,13 @@
 			l.s.resume(l, number)
 			return
 		}
+		if errors.Is(err, errStoreRestored) {
+			err = l.writeAgain(ctx) // a record that a candidate wrote before the restore is lost
+		}
+		if err == nil {
+			l.handoverStarted.Store(false)
+			return
+		}
 		l.logger.Warn("could not write the record that continues this VM's leadership", "error", err)
 	}
 	// The newest record may also be one of this VM with assignments whose write was
@@ -244,6 +260,9 @@
 	defer h.s.guard.RecoverError(&err, "answer the RPC Take")
 	ctx, cancel := context.WithTimeout(h.s.ctx, handoverTimeout)
 	defer cancel()
+	if err := h.s.view.Learn(a.Record); err != nil {
+		return err
+	}
 	endClaim, svc, err := h.s.prepareTake(ctx, a)
 	if err != nil {
 		reply.Refused = err.Error()
@@ -295,5 +314,5 @@
 	s.mu.Lock()
 	s.learnedFromLeader[svc.Name] = a.Learned
 	s.mu.Unlock()
-	return s.claim(ctx, svc, c, fixedBound(0))
+	return s.claim(ctx, svc, c, succession{grantBound: fixedBound(0), continuous: true})
 }
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -106,6 +106,7 @@
 	deputyFor        *fleet.Cell
 	hold             time.Duration // of the grants, as the record of the cell tells
 	claimingAsDeputy atomic.Bool
+	writingAgain     atomic.Bool // set while writeAgain runs
 	// support tracks the leases of the VMs that support this leader. mu guards
 	// support, proposedAt and lastHandoverAttempt.
 	support             support.Leader
@@ -155,6 +156,16 @@
 	pause = keyStepInterval
 	defer l.s.guard.Recover("lend slots and manage the keys of a cell", "service", l.service)
 	pause = l.tick()
+	if l.deputyFor == nil && !l.handoverStarted.Load() && l.view.IsCellRestored(l.service) && l.writingAgain.CompareAndSwap(false, true) {
+		go func() {
+			defer l.s.guard.Recover("write the record of a cell to the restored store", "service", l.service)
+			defer l.writingAgain.Store(false)
+			if err := l.writeAgain(ctx); err != nil {
+				l.logger.Info("could not write the record of the cell to the restored store", "service", l.service, "error", err)
+				time.Sleep(appendRetryDelay)
+			}
+		}()
+	}
 	if now := l.now(); l.keys != nil && now >= due.keys {
 		due.keys = now + keyStepInterval
 		l.stepKeys(ctx)
@@ -213,12 +224,16 @@
 // newest known record, has started no handover, and either the store has confirmed its
 // leadership within leaderLease or enough VMs support it.
 func (l *leadership) mayGrant() error {
-	if l.isCurrent() && !l.handoverStarted.Load() && (l.confirmed() || l.supported()) {
+	if l.isCurrent() && !l.handoverStarted.Load() && l.holdsLease() {
 		return nil
 	}
 	return errMayNotGrant
 }
 
+// holdsLease reports whether the store has confirmed the newest record of the cell within
+// leaderLease or enough VMs support its leader.
+func (l *leadership) holdsLease() bool { return l.confirmed() || l.supported() }
+
 // isCurrent reports whether the newest known record of the cell names this process or,
 // if this VM is a deputy, is still the record of the leader that it stands in for.
 func (l *leadership) isCurrent() bool {
@@ -229,8 +244,9 @@
 	return c != nil && c.Leader == l.s.self.ID && c.Boot == l.s.self.Boot
 }
 
-// confirmed reports whether the view of the system's log is at most leaderLease old.
-func (l *leadership) confirmed() bool { return l.view.Staleness(view.System) <= leaderLease }
+// confirmed reports whether the store has confirmed the newest record of the cell within
+// leaderLease.
+func (l *leadership) confirmed() bool { return l.view.CellStaleness(l.service) <= leaderLease }
 
 // stepKeys starts the grant and release calls that are due.
 func (l *leadership) stepKeys(ctx context.Context) {
@@ -304,11 +320,16 @@
 // store has confirmed the leadership recently. A deputy instead tries to become the
 // leader.
 func (l *leadership) plan(ctx context.Context) {
-	if l.handoverStarted.Load() || !l.isCurrent() || !l.confirmed() {
+	if l.handoverStarted.Load() || !l.isCurrent() {
 		return
 	}
 	if l.deputyFor != nil {
-		go l.claimAsDeputy(ctx)
+		if l.view.Staleness(view.System) <= leaderLease {
+			go l.claimAsDeputy(ctx)
+		}
+		return
+	}
+	if !l.confirmed() || l.view.IsCellRestored(l.service) {
 		return
 	}
 	if assignments, change := l.propose(); change {
@@ -346,12 +367,42 @@
 	return out
 }
 
+// writeAgain writes the present key assignments as a record of the store's new era, so
+// that the store holds them again and confirms this leader. It needs an unbroken lease:
+// otherwise another VM may have led the cell, and its records may be lost.
+func (l *leadership) writeAgain(ctx context.Context) error {
+	record := &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Hold: l.hold}
+	if l.keys != nil {
+		l.mu.Lock()
+		record.Keys = l.keys.Assignments()
+		pending := l.keys.Pending()
+		l.mu.Unlock()
+		switch {
+		case pending:
+			return errors.New("a proposal of key assignments is being written")
+		case !l.holdsLease():
+			return errors.New("the lease of this leader has ended")
+		}
+	}
+	number, err := l.s.write(ctx, record)
+	if err != nil {
+		return err
+	}
+	l.logger.Info("wrote the record of the cell to the restored store", "service", l.service, "number", number, "ranges", len(record.Keys))
+	return nil
+}
+
 // commit writes proposed assignments to the store, after which they take effect.
 func (l *leadership) commit(ctx context.Context, assignments []keyspace.Assignment) {
 	began := l.now()
 	number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Keys: assignments, Hold: l.hold})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if errors.Is(err, errStoreRestored) {
+		l.keys.Withdraw()
+		l.logger.Info("withdrew the proposed key assignments: the store was restored", "ranges", len(assignments))
+		return
+	}
 	if err != nil {
 		// Another record of the cell was written, or this leadership is ending. The
 		// proposal stays pending, so that no further one is made.
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -180,13 +180,16 @@
 	l, leading := s.leaderships[svc.Name]
 	busy := s.claiming[svc.Name]
 	s.mu.Unlock()
+	restored := s.view.IsCellRestored(svc.Name)
 	switch {
 	case leading && !l.isCurrent():
 		s.stopLeading(svc.Name, l, "another VM leads the cell")
 	case leading && l.handoverStarted.Load() && s.hasDeputy(svc.Name, c):
 		s.stopLeading(svc.Name, l, "another VM is deputy of this one")
+	case leading && restored && l.keys != nil && !l.holdsLease():
+		s.stopLeading(svc.Name, l, "the store was restored after the lease had ended")
 	case leading || busy:
-	case mine && !s.hasDeputy(svc.Name, c):
+	case mine && !restored && !s.hasDeputy(svc.Name, c):
 		s.startLeading(svc.Name, s.inherit(svc, maxHoldAfterLease(fleet.LongestHold)), number)
 	case !s.retiring.Load() && s.shouldClaim(svc.Name, c):
 		s.mu.Lock()
@@ -206,16 +209,16 @@
 		delete(s.silentSince, svc.Name)
 		s.mu.Unlock()
 	}()
-	bound := fixedBound(0)
+	p := succession{grantBound: fixedBound(0)}
 	var r *releaseVotes
-	if seen != nil && !processEnded(s.view, seen) {
+	if restored := s.view.IsCellRestored(svc.Name); restored || seen != nil && !processEnded(s.view, seen) {
 		var ok bool
-		if r, ok = s.releaseLeader(s.ctx, svc.Name, seen); !ok {
+		if r, ok = s.releaseLeader(s.ctx, svc.Name, seen, restored); !ok {
 			return
 		}
-		bound = func() time.Duration { return s.grantBound(r) }
+		p = succession{grantBound: func() time.Duration { return s.grantBound(r) }, afterRestore: restored}
 	}
-	if err := s.claim(s.ctx, svc, seen, bound); err != nil {
+	if err := s.claim(s.ctx, svc, seen, p); err != nil {
 		s.logger.Info("could not claim the cell", "service", svc.Name, "error", err)
 		return
 	}
@@ -226,7 +229,7 @@
 	}
 }
 
-// fixedBound returns a function that always returns d, as the bound of claim.
+// fixedBound returns a function that always returns d, as the grantBound of a succession.
 func fixedBound(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 
 // hasDeputy reports whether another VM is deputy of the leader named in a record.
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -21,7 +21,16 @@
 
 // SupportArgs asks a VM to support a process as leader of a cell or, in a Release
 // call, never to support it again.
-type SupportArgs struct{ Service, Leader, Boot string }
+type SupportArgs struct {
+	Service, Leader, Boot string
+	// Claimant is the VM that wants to claim the cell, in a Release call. It may be the
+	// leader itself, whose lease has ended.
+	Claimant string
+	// AfterRestore is set if a restored store may have lost later records than the one
+	// with Change, the newest that the claimant knows.
+	AfterRestore bool
+	Change       uint64
+}
 
 // SupportReply tells whether the VM supports the process for one lease.
 type SupportReply struct{ Supports bool }
@@ -31,6 +40,8 @@
 	Hears bool          // the process or its deputy answers the VM, which therefore keeps supporting it
 	Left  time.Duration // for how long the lease of earlier support still runs
 	Boot  string        // Boot of the VM that answers
+	// Record is the record of the cell that the VM knows, if it is not the claimant's.
+	Record []view.Change
 }
 
 // Support gives a process the support of this VM for one lease if the newest known record
@@ -59,10 +70,13 @@
 	defer h.s.guard.RecoverError(&err, "answer the RPC Release")
 	leader, c, known := h.s.currentLeader(a.Service)
 	same := known && c.Leader == a.Leader && c.Boot == a.Boot
-	if same && h.s.heardRecently(leader.ID, leader.Boot) {
+	if same && a.Claimant != a.Leader && h.s.heardRecently(leader.ID, leader.Boot) {
 		reply.Hears = true
 		return nil
 	}
+	if newest, _ := h.s.view.Cell(a.Service); a.AfterRestore && newest != nil && newest.Change != a.Change {
+		reply.Record = h.s.recordOf(a.Service)
+	}
 	reply.Left, reply.Boot = h.s.releaseSupport(a), h.s.self.Boot
 	return nil
 }
@@ -120,7 +134,7 @@
 // requestSupport asks all VMs to support this leader, unless it has started a handover,
 // if the store confirmed it last between supportAfter and support.MaxExtension ago.
 func (l *leadership) requestSupport(ctx context.Context) {
-	if age := l.view.Staleness(view.System); age < supportAfter || age > support.MaxExtension {
+	if age := l.view.CellStaleness(l.service); age < supportAfter || age > support.MaxExtension {
 		return
 	}
 	c, _ := l.view.Cell(l.service)
@@ -138,14 +152,14 @@
 			l.mu.Unlock()
 		}
 	})
-	l.logger.Info("asked the VMs for support because the store has not confirmed the leadership recently", "supporters", supporters, "vms", len(l.view.VMs()), "confirmed_before", l.view.Staleness(view.System))
+	l.logger.Info("asked the VMs for support because the store has not confirmed the leadership recently", "supporters", supporters, "vms", len(l.view.VMs()), "confirmed_before", l.view.CellStaleness(l.service))
 }
 
 // supported reports whether enough VMs support this leader for it to continue without
 // the store's confirmation, for at most support.MaxExtension. It then renews grants but
 // cannot change the owners of keys.
 func (l *leadership) supported() bool {
-	if l.view.Staleness(view.System) > support.MaxExtension {
+	if l.view.CellStaleness(l.service) > support.MaxExtension {
 		return false
 	}
 	l.mu.Lock()
@@ -160,17 +174,23 @@
 	record  *fleet.Cell
 	left    time.Duration     // longest time for which earlier support may still last
 	boots   map[string]string // Boot of the process that released the leader, by VM
+	// restored tells that a restored store may have lost later records of the cell.
+	restored bool
 }
 
-// releaseLeader asks all VMs to stop supporting the leader named in a record. ok is
-// false if the leader still answers one of them.
-func (s *Service) releaseLeader(ctx context.Context, service string, c *fleet.Cell) (r *releaseVotes, ok bool) {
-	r = &releaseVotes{service: service, record: c, boots: map[string]string{}}
+// releaseLeader asks all VMs to stop supporting the leader named in a record, which is nil
+// if none is known. ok is false if the leader still answers one of them. restored tells
+// that the store may have lost later records; the VMs then return those that they know.
+func (s *Service) releaseLeader(ctx context.Context, service string, c *fleet.Cell, restored bool) (r *releaseVotes, ok bool) {
+	if c == nil {
+		c = &fleet.Cell{Service: service}
+	}
+	r = &releaseVotes{service: service, record: c, boots: map[string]string{}, restored: restored}
 	return r, s.requestReleases(ctx, r)
 }
 
 func (s *Service) requestReleases(ctx context.Context, r *releaseVotes) (ok bool) {
-	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot}
+	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot, Claimant: s.self.ID, AfterRestore: r.restored, Change: r.record.Change}
 	ok = true
 	// A VM may have supported the leader and then restarted, so the support of its
 	// earlier process may last for up to one more lease.
@@ -181,6 +201,10 @@
 			s.logger.Info("not claiming the cell: its leader still answers another VM", "service", r.service, "leader", r.record.Leader, "by", vm.ID)
 			return
 		}
+		if err := s.view.Learn(reply.Record); err != nil {
+			s.logger.Error("could not decode the record of a cell that another VM knows", "service", r.service, "vm", vm.ID, "error", err)
+			return
+		}
 		r.boots[vm.ID] = reply.Boot
 		r.left = max(r.left, reply.Left)
 	})
@@ -230,7 +254,7 @@
 			return
 		case <-time.After(leaderReleaseRetryInterval):
 		}
-		if processEnded(l.view, r.record) {
+		if !r.restored && processEnded(l.view, r.record) {
 			l.lowerPriorManagerHoldBound(r, l.now(), "the previous leader's process has ended")
 			return
 		}
@@ -256,7 +280,11 @@
 func (l *leadership) lowerPriorManagerHoldBound(r *releaseVotes, leaseEnds time.Duration, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now, bound := l.now(), leaseEnds+maxHoldAfterLease(r.record.GrantHold())
+	hold := r.record.GrantHold()
+	if r.restored {
+		hold = fleet.LongestHold
+	}
+	now, bound := l.now(), leaseEnds+maxHoldAfterLease(hold)
 	l.keys.LowerPriorManagerHoldBound(now, bound)
 	l.logger.Info("grants of the previous leader expire earlier than assumed at the claim", "leader", r.record.Leader, "boot", r.record.Boot, "within", bound-now, "why", why)
 }
