A removal that only newest values hide reaches all VMs

Cause: a VM that starts, or that the store's history no longer serves, reads the newest value of each key, in which removals do not appear. It passed on that it knows the log to its end, so that a VM that had not read the removal never did. And it took a removed key from a VM that was behind for one that it lacks. Class: absence of a record is taken for knowledge that nothing was there.

Change: a view remembers which parts of a log it skipped. It gives no position of that log to a VM whose own ends within such a part; that VM reads the rest from the store. It takes no unknown key from before the end of such a part.

The fault is older than the restores: it needs a VM that starts.

--- a/node/view/view.go
+++ b/node/view/view.go
@@ -121,6 +121,7 @@
 	// addresses: the targets may still hold keys.
 	goneTargets map[string]*entry
 	prunedAt    time.Duration
+	unread      [numLogs][]span
 	// What a restored store said otherwise than the view, in force from settleAt on unless
 	// the store has changed it by then.
 	unsettled []Change
@@ -231,11 +232,13 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.isRestored(l, end) {
+		v.skipTo(l, end)
 		v.apply(v.reconcile(l, changes, end, true))
 		v.advance(l, end, began)
 		return
 	}
 	if end >= v.ends[l] {
+		v.skipTo(l, end)
 		present := make(map[string]bool, len(changes))
 		for _, c := range changes {
 			present[c.Key] = true
@@ -393,7 +396,8 @@
 // Since returns the changes that a VM with the summary k lacks. A cell record that only
 // moves keys is deferred while that VM has a recent one: only VMs that reach no leader
 // use the keys, and the cost of sending every record would grow with the numbers of
-// targets and VMs. The log's position then ends at the deferred record.
+// targets and VMs. The log's position then ends at the deferred record. A log
+// gets no position while this view may lack a removal that the VM has not read either.
 func (v *View) Since(k Known) Batch {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
@@ -403,7 +407,9 @@
 		if !v.known[l] {
 			continue
 		}
-		b.Positions[l] = Position{Read: true, End: v.ends[l], Age: now - v.freshAt[l]}
+		if !v.mayMissRemovals(l, k.Ends[l]) {
+			b.Positions[l] = Position{Read: true, End: v.ends[l], Age: now - v.freshAt[l]}
+		}
 		for _, e := range v.entries[l] {
 			if e.Offset < k.Ends[l] {
 				continue
@@ -498,7 +504,7 @@
 		}
 		var logChanges []Change
 		for _, c := range b.Changes {
-			if c.Log == l {
+			if c.Log == l && !v.isRemovedBefore(&c) {
 				logChanges = append(logChanges, c)
 			}
 		}
@@ -509,6 +515,9 @@
 		if read && v.isRestored(l, b.Positions[l].End) {
 			logChanges = v.reconcile(l, logChanges, b.Positions[l].End, false)
 		}
+		if read && !v.known[l] {
+			v.skipTo(l, b.Positions[l].End)
+		}
 		v.apply(logChanges)
 		if read {
 			v.advance(l, b.Positions[l].End, now-elapsed-max(0, b.Positions[l].Age))
