A reset that a write learned of is no end of an answer

Callers saw a success with a short body, framed as whole, where the target's answer had no length, ended with its connection, and was reset on the way.

Cause: a request of more than 16 KiB is written while its answer is read. The kernel reports a reset once. If the write got the report, the read saw an orderly end, which ends such a body; the error of the write was dropped.

Change: an answer that ends with its connection fails, with unknown outcome, unless the whole request was written without error. A connection on which the write failed is not kept.

--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -35,6 +35,7 @@
 	errBodyTooLarge      = errors.Errorf("the body of the answer exceeds %d bytes", MaxAnswerBytes)
 	errAnswerMemory      = errors.New("no memory is left for an answer of this size beside those in progress")
 	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
+	errEndedEarly        = errors.New("the answer ended with the connection before the whole request was sent")
 	errOtherRequests     = errors.New("the answers on the connection belong to other requests")
 )
 
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -77,8 +77,9 @@
 	Body   []byte
 	Took   time.Duration // from the first byte sent to the last byte received
 
-	reserved int64 // memory that the body counts for
-	memory   *answerMemory
+	endsWithConn bool  // the body ends with the connection
+	reserved     int64 // memory that the body counts for
+	memory       *answerMemory
 }
 
 // Release ends the use of the body, which no longer counts towards
@@ -296,16 +297,24 @@
 		}
 		return c.receive(cn, r, req, start)
 	}
-	written := make(chan struct{})
+	written := make(chan error, 1)
 	go func() {
-		defer close(written)
-		_, _ = cn.Write(encoded) // a failed write also makes the read fail
+		_, err := cn.Write(encoded)
+		written <- err
 	}()
 	answer, err := c.receive(cn, r, req, start)
+	sent := false
 	select {
-	case <-written:
-	default:
-		cn.notReusable = true // the target answered before the whole request was sent
+	case writeErr := <-written:
+		sent = writeErr == nil
+	default: // the target answered before the whole request was sent
+	}
+	cn.notReusable = cn.notReusable || !sent
+	if err == nil && answer.endsWithConn && !sent {
+		// The kernel reports a reset once, to the write or to the read. If the write got
+		// it, the read sees an orderly end.
+		answer.Release()
+		return nil, errEndedEarly
 	}
 	return answer, err
 }
@@ -363,9 +372,13 @@
 			if err != nil {
 				return nil, errors.Wrap(err, "receive body")
 			}
-			cn.notReusable = cn.notReusable || resp.Close || closeDelimited(resp)
+			endsWithConn := closeDelimited(resp)
+			cn.notReusable = cn.notReusable || resp.Close || endsWithConn
 			cn.maxIdleTime = maxIdleTimeFrom(resp.Header)
-			return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(start), reserved: reserved, memory: &c.memory}, nil
+			return &Answer{
+				Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(start),
+				endsWithConn: endsWithConn, reserved: reserved, memory: &c.memory,
+			}, nil
 		}
 	}
 }
