Tests of an answer that stops after any byte

Callers elsewhere saw a success with an empty or short body after a target had stopped in the middle of its answer's head. Here a cut head or body fails, and the caller of a write is told that the outcome is unknown; no test showed it for the head, for answers without a body, or for resets.

--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -290,3 +290,27 @@
 	time.Sleep(200 * time.Millisecond)
 	assert.EqualValues(t, 1, target.requests.Load())
 }
+
+// Guards against a success with an empty or short body: a target stops after any byte of
+// its answer and closes or resets the connection. The caller of a write must see that the
+// outcome is unknown, unless all bytes of the body have arrived.
+func TestAnswerCutAtAnyByteIsUnknown(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 4\r\n\r\nbody"
+	cuts := make(chan int, 1)
+	for _, reset := range []bool{false, true} {
+		s := newGateway(t, true, startTarget(t, func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, text[:<-cuts]) // a failed write also ends the answer
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}))
+		for cut := range len(text) {
+			cuts <- cut
+			resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "after %q", text[:cut])
+			require.Contains(t, body, `"unknown"`)
+			require.Empty(t, resp.Header.Get("Proof"))
+		}
+	}
+}
