Two answers that are read as one head are no answer

Callers were told 'not run, try again' for a write that a target had run, or the write ran at a second target, or they got a short body framed as whole, where a target sent a part of a copy of an earlier answer on a kept connection right before its answer.

Cause: a copy that stops within the reason or within the value of a header goes on with the status line of the answer behind it, and the two heads are parsed as one: the status, Not-Executed and the length are the copy's, the id is that of the request.

Change: a head whose reason or header contains a status line fails the request, with unknown outcome.

Measured: TestPartOfACopyNeverChangesTheNextAnswer sends each of 7 copies, cut after every byte, before each of 6 answers.

--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
@@ -36,6 +38,7 @@
 	errAnswerMemory      = errors.New("no memory is left for an answer of this size beside those in progress")
 	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
 	errEndedEarly        = errors.New("the answer ended with the connection before the whole request was sent")
+	errTwoHeads          = errors.New("the header of the answer contains the status line of another one")
 	errOtherRequests     = errors.New("the answers on the connection belong to other requests")
 )
 
@@ -60,11 +63,39 @@
 	return n, err
 }
 
-// readHead reads the status line and header of the next answer on the connection.
+// readHead reads the status line and header of the next answer on the connection. It
+// fails if they contain the status line of another answer.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.raw.left = maxHeadBytes
 	defer func() { c.raw.left = -1 }()
-	return http.ReadResponse(c.reader, req)
+	resp, err := http.ReadResponse(c.reader, req)
+	if err == nil && containsStatusLine(resp) {
+		return nil, errTwoHeads
+	}
+	return resp, err
+}
+
+// statusLine matches the beginning of the status line of an answer.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
+
+// containsStatusLine reports whether the reason or a header of an answer contains a
+// status line: the target broke off one answer and began another. Of two heads that are
+// read as one, the status may belong to the first and the id to the second.
+func containsStatusLine(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	for name := range resp.Trailer { // net/http takes these names from the header
+		if statusLine.MatchString(name) {
+			return true
+		}
+	}
+	return false
 }
 
 // answerMemory counts the memory that the bodies of answers use beyond
