Send a request again to an address only on a new connection

Callers of a write were told 'not run, try again' although a target had run it, where a process was known under two ids, the later of which began at the address of the earlier: the write was refused under one id and sent again under the other.

Cause: the gateway opened a new connection for a repeat only if the same id had answered before. Connections are kept by address, so the repeat took the connection of the refusal, on which a late second copy of it carried the right request id.

Change: the gateway remembers the addresses that answered, not the ids.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -129,7 +129,7 @@
 	attempts      int
 	mayHaveRun    bool            // a target may have run an earlier attempt
 	answering     bool            // the answer to the caller has begun
-	answeredBy    map[string]bool // targets that answered an earlier attempt
+	answeredAt    map[string]bool // addresses at which an earlier attempt was answered
 	avoid         string          // target of the last attempt, which the next one avoids
 }
 
@@ -324,16 +324,16 @@
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
 		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
-		NewConnection: q.answeredBy[slot.Target], BeforeSend: q.waitCtx.Err,
+		NewConnection: q.answeredAt[slot.Address], BeforeSend: q.waitCtx.Err,
 	})
 	if err != nil {
 		return q.handleSendError(slot, err)
 	}
 	defer answer.Release()
-	if q.answeredBy == nil {
-		q.answeredBy = map[string]bool{}
+	if q.answeredAt == nil {
+		q.answeredAt = map[string]bool{}
 	}
-	q.answeredBy[slot.Target] = true
+	q.answeredAt[slot.Address] = true
 	info := q.g.codec.FromTarget(answer.Status, answer.Header)
 	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Load: info.Load}
 	switch {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -227,34 +228,42 @@
 
 // Guards against a write that runs although its caller is told that it did not: a target
 // sends a second copy of its refusal, late, when the same write was sent to it again on
-// the same connection, where the copy looks like the answer.
+// the same connection, where the copy looks like the answer. The process may be known
+// under two ids, of which the second began at the address of the first.
 func TestLateCopyOfRefusalIsNotTheAnswerToTheRepeat(t *testing.T) {
-	const refusal = "503 Service Unavailable"
-	var ran atomic.Int32
-	requestsOn := map[string]int{} // by connection; each is served by one goroutine, and requests come one after the other
-	var mu sync.Mutex
-	target := startTarget(t, func(c net.Conn, r *http.Request) {
-		mu.Lock()
-		requestsOn[c.RemoteAddr().String()]++
-		n, total := requestsOn[c.RemoteAddr().String()], 0
-		for _, k := range requestsOn {
-			total += k
-		}
-		mu.Unlock()
-		if total == 1 {
-			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "")
-			return
-		}
-		ran.Add(1)
-		if n > 1 {
-			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "") // the copy
-		}
-		respond(c, r, "200 OK", "", "ran")
-	})
-	s := newGateway(t, true, target)
-	resp, body := call(t, s, http.MethodPost, "/write/a", "x")
-	assert.EqualValues(t, 1, ran.Load(), "runs of the write")
-	assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+	const full, otherProcess = "503 Service Unavailable", "421 Misdirected Request"
+	for _, tc := range []struct {
+		refusal string
+		ids     int
+	}{{full, 1}, {full, 2}, {otherProcess, 2}} {
+		t.Run(fmt.Sprintf("%s, ids %d", tc.refusal, tc.ids), func(t *testing.T) {
+			var ran atomic.Int32
+			requestsOn := map[string]int{} // by connection; each is served by one goroutine, and requests come one after the other
+			var mu sync.Mutex
+			target := startTarget(t, func(c net.Conn, r *http.Request) {
+				mu.Lock()
+				requestsOn[c.RemoteAddr().String()]++
+				n, total := requestsOn[c.RemoteAddr().String()], 0
+				for _, k := range requestsOn {
+					total += k
+				}
+				mu.Unlock()
+				if total == 1 {
+					respond(c, r, tc.refusal, "Not-Run: 1\r\nSlots: 3\r\n", "")
+					return
+				}
+				ran.Add(1)
+				if n > 1 {
+					respond(c, r, tc.refusal, "Not-Run: 1\r\nSlots: 3\r\n", "") // the copy
+				}
+				respond(c, r, "200 OK", "", "ran")
+			})
+			s := newGateway(t, true, []*fakeTarget{target, target}[:tc.ids]...)
+			resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+			assert.EqualValues(t, 1, ran.Load(), "runs of the write")
+			assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+		})
+	}
 }
 
 // Guards against a write that a target runs although its caller has left while the write
