A request without an id takes its answer from a new connection

The caller of a request without an id got the answer to an earlier one, for example that it was not run, where a target sent a second copy of an answer without an id on a kept connection.

Cause: answers are told apart by the request id. Where neither the request nor the copy has one, they match.

Change: a request without an id is sent on a new connection. Callers of this platform give each attempt an id, so this costs no connections there.

Measured: TestRequestWithoutIDGetsItsOwnAnswer fails without the change: the second write gets the answer to the first.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -324,7 +324,7 @@
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
 		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body, NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
-		NewConnection: q.answeredAt[slot.Address], BeforeSend: q.waitCtx.Err,
+		NewConnection: q.ID == "" || q.answeredAt[slot.Address], BeforeSend: q.waitCtx.Err,
 	})
 	if err != nil {
 		return q.handleSendError(slot, err)
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -131,10 +131,17 @@
 }
 
 func call(t *testing.T, s *httptest.Server, method, path, body string) (*http.Response, string) {
+	return callWithID(t, s, method, path, body, "r1")
+}
+
+// callWithID is call with the given id, or with none if it is empty.
+func callWithID(t *testing.T, s *httptest.Server, method, path, body, id string) (*http.Response, string) {
 	req, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Host = "h.example"
-	req.Header.Set("Id", "r1")
+	if id != "" {
+		req.Header.Set("Id", id)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
@@ -266,6 +273,28 @@
 	}
 }
 
+// Guards against the answer to another request, for example that it was not run: a target
+// sends a second copy of an answer without an id, late, before its answer to the next
+// request without an id.
+func TestRequestWithoutIDGetsItsOwnAnswer(t *testing.T) {
+	var mu sync.Mutex
+	previous := map[string]string{} // by connection
+	target := startTarget(t, func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if uri := previous[c.RemoteAddr().String()]; uri != "" {
+			respond(c, r, "200 OK", "", uri)
+		}
+		previous[c.RemoteAddr().String()] = r.RequestURI
+		respond(c, r, "200 OK", "", r.RequestURI)
+	})
+	s := newGateway(t, true, target)
+	for _, path := range []string{"/write/1", "/write/2", "/read/3"} {
+		_, body := callWithID(t, s, http.MethodPost, path, "x", "")
+		assert.Equal(t, path, body)
+	}
+}
+
 // Guards against a write that a target runs although its caller has left while the write
 // waited for a slot: nothing had been sent, and the caller may have asked elsewhere.
 func TestWriteOfCallerThatLeftWhileItWaitedIsNotSent(t *testing.T) {
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -58,9 +58,9 @@
 	// NonIdempotent is set for requests that may run only once. They are not sent
 	// on connections that were idle for longer than idleLimit allows.
 	NonIdempotent bool
-	// NewConnection is set if a target at this address has answered this request before,
-	// for example that it did not run it. A late second copy of that answer, which carries
-	// the same id, could not be told from the next answer on the same connection.
+	// NewConnection is set if the answer could not be told from a late second copy of an
+	// earlier one on the same connection: a target at this address has answered this
+	// request before, for example that it did not run it, or the request has no id.
 	NewConnection bool
 	// MatchesRequest reports whether the header of an answer belongs to this request.
 	// If it is nil, the first answer is taken.
