Pass on no promise that the target does not make

The caller of a write was told by 503, 429 or 408 that it was not run and never will be, although a target may have run it.

Cause: a target's 503, 429 or 408 without Not-Executed states nothing of the kind, but was passed on as it is, and callers take these statuses for a promise.

Change: for requests that may run only once the caller gets 502, outcome unknown, without the target's headers. Other requests get the target's answer as before.

Measured: TestPromiseThatTheTargetDoesNotMakeIsUnknown failed before for each of the three statuses, which the caller of the write got.

--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -40,6 +40,16 @@
 	Request string `json:"request,omitempty"`
 }
 
+// promisesNotRun reports whether a status tells the caller that the request was not run
+// and will not be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // refuse answers 503: the request was not run and will not be. The caller may
 // retry after retryAfter.
 func (q *request) refuse(reason string, retryAfter time.Duration) {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -348,6 +348,10 @@
 	switch {
 	case usage.Result == lending.WrongOwner || usage.Result == lending.Shed:
 		return q.handleNotRun(slot, usage.Result)
+	case !q.route.Idempotent && promisesNotRun(answer.Status):
+		q.logAttempt("target did not state whether it ran the request", slot, answer.Status, nil)
+		q.answerUnknown("the target did not state whether it ran the request", slot.Target)
+		return true
 	case usage.Result == lending.Failed && q.mayRetry(q.route.Attempts):
 		q.mayHaveRun, q.avoid = true, slot.Target
 		q.logAttempt("target answered with a server error, retrying", slot, answer.Status, nil)
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -352,3 +352,22 @@
 		}
 	}
 }
+
+// Guards against a write whose caller is told that it did not run, and sends it again,
+// although it may have: a target answers with a status that promises this to callers, but
+// does not state it.
+func TestPromiseThatTheTargetDoesNotMakeIsUnknown(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		handle := func(c net.Conn, r *http.Request) { respond(c, r, status, "Proof: p\r\nRetry-After: 0.1\r\n", "") }
+		a, b := startTarget(t, handle), startTarget(t, handle)
+		s := newGateway(t, true, a, b)
+		resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, status)
+		assert.Contains(t, body, `"unknown"`, status)
+		assert.Empty(t, resp.Header.Get("Proof"), status)
+		assert.Empty(t, resp.Header.Get("Retry-After"), status)
+		assert.EqualValues(t, 1, a.requests.Load()+b.requests.Load(), status)
+		resp, _ = call(t, s, http.MethodGet, "/read/a", "") // may run again whatever has happened
+		assert.Equal(t, status, resp.Status)
+	}
+}
