Two answers read as one head are no answer, also to requests of dispatchers

A write could be taken for not run, and sent again, where a target sent a part of a copy of a refusal right before its answer: status and Mangogate-Not-Run were the copy's, the id was that of the request.

Cause and change as in package upstream, whose check package targets now uses.

Measured: the new row of TestMismatchedOrTruncatedAnswer failed before (no error), the other rows passed before and after.

--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/mangogate/mangogate/node/peer"
+	"github.com/mangogate/mangogate/node/upstream"
 	"github.com/mangogate/mangogate/node/wire"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -317,11 +318,11 @@
 	fail := func(err error) error {
 		return &SendError{Step: "check answer", Target: r.Target, Written: true, Err: err}
 	}
-	if got := resp.Header.Get(HeaderRequestID); got != r.ID {
+	if got := resp.Header.Get(HeaderRequestID); got != r.ID || upstream.ContainsStatusLine(resp) {
 		c.mismatched.Inc(1)
 		c.CloseIdle(r.Address)
 		// Closing a body that was not read to its end closes the connection.
-		return nil, fail(errors.Errorf("answer is for request %q, not %q", got, r.ID))
+		return nil, fail(errors.Errorf("answer is for request %q, not %q, or made of two answers", got, r.ID))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
--- a/node/targets/client_test.go
+++ b/node/targets/client_test.go
@@ -76,6 +76,10 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 9\r\n\r\nok", HeaderRequestID, id)
 			conn.Close()
 		}},
+		{"after a part of a refusal", func(conn net.Conn, id string) {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: shed\r\nVia: ", HeaderNotRun)
+			reply(conn, id, "ok")
+		}},
 		{"cut in a chunk", func(conn net.Conn, id string) {
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok", HeaderRequestID, id)
 			conn.Close()
--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -69,7 +69,7 @@
 	c.raw.left = maxHeadBytes
 	defer func() { c.raw.left = -1 }()
 	resp, err := http.ReadResponse(c.reader, req)
-	if err == nil && containsStatusLine(resp) {
+	if err == nil && ContainsStatusLine(resp) {
 		return nil, errTwoHeads
 	}
 	return resp, err
@@ -78,10 +78,10 @@
 // statusLine matches the beginning of the status line of an answer.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
 
-// containsStatusLine reports whether the reason or a header of an answer contains a
+// ContainsStatusLine reports whether the reason or a header of an answer contains a
 // status line: the target broke off one answer and began another. Of two heads that are
 // read as one, the status may belong to the first and the id to the second.
-func containsStatusLine(resp *http.Response) bool {
+func ContainsStatusLine(resp *http.Response) bool {
 	if statusLine.MatchString(resp.Status) {
 		return true
 	}
