--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -130,10 +131,17 @@
 }
 
 func call(t *testing.T, s *httptest.Server, method, path, body string) (*http.Response, string) {
+	return callWithID(t, s, method, path, body, "r1")
+}
+
+// callWithID is call with the given id, or with none if it is empty.
+func callWithID(t *testing.T, s *httptest.Server, method, path, body, id string) (*http.Response, string) {
 	req, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Host = "h.example"
-	req.Header.Set("Id", "r1")
+	if id != "" {
+		req.Header.Set("Id", id)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
 	defer resp.Body.Close()
@@ -227,34 +235,64 @@
 
 // Guards against a write that runs although its caller is told that it did not: a target
 // sends a second copy of its refusal, late, when the same write was sent to it again on
-// the same connection, where the copy looks like the answer.
+// the same connection, where the copy looks like the answer. The process may be known
+// under two ids, of which the second began at the address of the first.
 func TestLateCopyOfRefusalIsNotTheAnswerToTheRepeat(t *testing.T) {
-	const refusal = "503 Service Unavailable"
-	var ran atomic.Int32
-	requestsOn := map[string]int{} // by connection; each is served by one goroutine, and requests come one after the other
+	const full, otherProcess = "503 Service Unavailable", "421 Misdirected Request"
+	for _, tc := range []struct {
+		refusal string
+		ids     int
+	}{{full, 1}, {full, 2}, {otherProcess, 2}} {
+		t.Run(fmt.Sprintf("%s, ids %d", tc.refusal, tc.ids), func(t *testing.T) {
+			var ran atomic.Int32
+			requestsOn := map[string]int{} // by connection; each is served by one goroutine, and requests come one after the other
+			var mu sync.Mutex
+			target := startTarget(t, func(c net.Conn, r *http.Request) {
+				mu.Lock()
+				requestsOn[c.RemoteAddr().String()]++
+				n, total := requestsOn[c.RemoteAddr().String()], 0
+				for _, k := range requestsOn {
+					total += k
+				}
+				mu.Unlock()
+				if total == 1 {
+					respond(c, r, tc.refusal, "Not-Run: 1\r\nSlots: 3\r\n", "")
+					return
+				}
+				ran.Add(1)
+				if n > 1 {
+					respond(c, r, tc.refusal, "Not-Run: 1\r\nSlots: 3\r\n", "") // the copy
+				}
+				respond(c, r, "200 OK", "", "ran")
+			})
+			s := newGateway(t, true, []*fakeTarget{target, target}[:tc.ids]...)
+			resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+			assert.EqualValues(t, 1, ran.Load(), "runs of the write")
+			assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+		})
+	}
+}
+
+// Guards against the answer to another request, for example that it was not run: a target
+// sends a second copy of an answer without an id, late, before its answer to the next
+// request without an id.
+func TestRequestWithoutIDGetsItsOwnAnswer(t *testing.T) {
 	var mu sync.Mutex
+	previous := map[string]string{} // by connection
 	target := startTarget(t, func(c net.Conn, r *http.Request) {
 		mu.Lock()
-		requestsOn[c.RemoteAddr().String()]++
-		n, total := requestsOn[c.RemoteAddr().String()], 0
-		for _, k := range requestsOn {
-			total += k
-		}
-		mu.Unlock()
-		if total == 1 {
-			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "")
-			return
-		}
-		ran.Add(1)
-		if n > 1 {
-			respond(c, r, refusal, "Not-Run: 1\r\nSlots: 3\r\n", "") // the copy
+		defer mu.Unlock()
+		if uri := previous[c.RemoteAddr().String()]; uri != "" {
+			respond(c, r, "200 OK", "", uri)
 		}
-		respond(c, r, "200 OK", "", "ran")
+		previous[c.RemoteAddr().String()] = r.RequestURI
+		respond(c, r, "200 OK", "", r.RequestURI)
 	})
 	s := newGateway(t, true, target)
-	resp, body := call(t, s, http.MethodPost, "/write/a", "x")
-	assert.EqualValues(t, 1, ran.Load(), "runs of the write")
-	assert.Equal(t, http.StatusOK, resp.StatusCode, body)
+	for _, path := range []string{"/write/1", "/write/2", "/read/3"} {
+		_, body := callWithID(t, s, http.MethodPost, path, "x", "")
+		assert.Equal(t, path, body)
+	}
 }
 
 // Guards against a write that a target runs although its caller has left while the write
@@ -290,3 +328,46 @@
 	time.Sleep(200 * time.Millisecond)
 	assert.EqualValues(t, 1, target.requests.Load())
 }
+
+// Guards against a success with an empty or short body: a target stops after any byte of
+// its answer and closes or resets the connection. The caller of a write must see that the
+// outcome is unknown, unless all bytes of the body have arrived.
+func TestAnswerCutAtAnyByteIsUnknown(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nId: r1\r\nProof: p\r\nContent-Length: 4\r\n\r\nbody"
+	cuts := make(chan int, 1)
+	for _, reset := range []bool{false, true} {
+		s := newGateway(t, true, startTarget(t, func(c net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(c, text[:<-cuts]) // a failed write also ends the answer
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+		}))
+		for cut := range len(text) {
+			cuts <- cut
+			resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+			require.Equal(t, http.StatusBadGateway, resp.StatusCode, "after %q", text[:cut])
+			require.Contains(t, body, `"unknown"`)
+			require.Empty(t, resp.Header.Get("Proof"))
+		}
+	}
+}
+
+// Guards against a write whose caller is told that it did not run, and sends it again,
+// although it may have: a target answers with a status that promises this to callers, but
+// does not state it.
+func TestPromiseThatTheTargetDoesNotMakeIsUnknown(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		handle := func(c net.Conn, r *http.Request) { respond(c, r, status, "Proof: p\r\nRetry-After: 0.1\r\n", "") }
+		a, b := startTarget(t, handle), startTarget(t, handle)
+		s := newGateway(t, true, a, b)
+		resp, body := call(t, s, http.MethodPost, "/write/a", "x")
+		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, status)
+		assert.Contains(t, body, `"unknown"`, status)
+		assert.Empty(t, resp.Header.Get("Proof"), status)
+		assert.Empty(t, resp.Header.Get("Retry-After"), status)
+		assert.EqualValues(t, 1, a.requests.Load()+b.requests.Load(), status)
+		resp, _ = call(t, s, http.MethodGet, "/read/a", "") // may run again whatever has happened
+		assert.Equal(t, status, resp.Status)
+	}
+}
