Reset beside a write: smaller buffers in place of a large body

The test took 31 s with the race detector, most of it to encode 200 bodies of 16 MiB. With small socket buffers 1 MiB keeps the write busy. Its rounds and its check stay.

--- a/node/upstream/cutanswer_test.go
+++ b/node/upstream/cutanswer_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // endConn closes a connection in order, or with a reset.
@@ -85,18 +87,22 @@
 // is reset while the client still sends the request, so that the failed write, not the
 // read, learns of the reset.
 func TestResetWhileRequestIsSentIsNoEndOfAnswer(t *testing.T) {
+	const socketBuffer, bodySize = 64 << 10, 1 << 20 // the write does not end before the reset
 	address := serve(t, func(c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(socketBuffer)
 		if _, err := http.ReadRequest(r); err == nil {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nhalf")
 			time.Sleep(time.Millisecond)
 		}
 		endConn(c, true)
 	})
-	c := New(net.Dialer{}, metrics.NewRegistry())
+	c := New(net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBuffer) })
+	}}, metrics.NewRegistry())
 	taken := 0
 	for range 200 {
 		req := request(address, "a", true)
-		req.Method, req.Body = http.MethodPost, make([]byte, 16<<20)
+		req.Method, req.Body = http.MethodPost, make([]byte, bodySize)
 		if _, err := c.Do(context.Background(), req); err == nil {
 			taken++
 		}
