After a restore, targets and evacuations settle each in their own time

Cause: one time of 4 s for both. A deployment whose targets report every 1.5 s drops the entry of a target that has ended only after 4.5 s; an evacuation that is begun again has to take effect within 5 s. What a copy had said of a key was also applied after a second restore. Change: 6 s for targets, 3 s for evacuations; a second restore drops what the first said. Result: TestSecondRestoreReplacesWhatTheFirstSaid fails without the line that it guards (b returns) and passes with it; the other tests of node/view pass.

--- a/node/view/restore.go
+++ b/node/view/restore.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangogate/mangogate/core/fleet"
@@ -10,10 +11,13 @@
 	// restoreGrace is for how long after a restore of the store a target or an evacuation
 	// that the copy lacks stays as it is, so that its writer can write it again.
 	restoreGrace = 2200 * time.Millisecond
-	// restoreSettleTime is after which time a target or an evacuation whose end the copy
-	// lacks counts as present again. The store removes the entry of a target that has
-	// ended after three missing heartbeats.
-	restoreSettleTime = 4 * time.Second
+	// targetSettleTime is after which time a target whose removal the copy lacks counts as
+	// present again. The store removes the entry of one that has ended after three missing
+	// heartbeats, which come every 1.5 s at most.
+	targetSettleTime = 6 * time.Second
+	// evacuationSettleTime is the same for an evacuation that was withdrawn. The operators
+	// may also have begun it again since the restore, and it has to take effect within 5 s.
+	evacuationSettleTime = 3 * time.Second
 )
 
 // isRestored reports whether a log that ends at end is in a later era than the view of
@@ -36,6 +40,8 @@
 	if l == System {
 		v.previousEra, v.previousFreshAt = Era(v.ends[l]), v.freshAt[l]
 	}
+	// What an earlier copy said no longer counts.
+	v.unsettled = slices.DeleteFunc(v.unsettled, func(c unsettledChange) bool { return c.Log == l })
 	present := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		present[c.Key] = true
@@ -43,7 +49,11 @@
 		case copyIsNewer:
 			now = append(now, c)
 		case copyMayBeOlder:
-			v.settleLater(c, clock+restoreSettleTime)
+			if l == Targets {
+				v.settleLater(c, clock+targetSettleTime)
+			} else {
+				v.settleLater(c, clock+evacuationSettleTime)
+			}
 		}
 	}
 	if !complete || l == System {
@@ -144,20 +154,30 @@
 	return false
 }
 
+// unsettledChange is a change that is applied at a later time.
+type unsettledChange struct {
+	Change
+	at time.Duration
+}
+
 // settleLater has a change applied at the given time, unless a later record of the key
 // is applied before.
 func (v *View) settleLater(c Change, at time.Duration) {
-	v.unsettled, v.settleAt = append(v.unsettled, c), max(v.settleAt, at)
+	v.unsettled = append(v.unsettled, unsettledChange{c, at})
 	v.logger.Info("keeps what is known of a key although the restored store says otherwise", "log", c.Log, "key", c.Key, "present", !c.isTombstone(), "for", at-v.now())
 }
 
 // settle applies the changes of settleLater once they are due.
 func (v *View) settle() {
-	if len(v.unsettled) == 0 || v.now() < v.settleAt {
-		return
-	}
-	due := v.unsettled
-	v.unsettled = nil
+	var due []Change
+	now := v.now()
+	v.unsettled = slices.DeleteFunc(v.unsettled, func(c unsettledChange) bool {
+		if now < c.at {
+			return false
+		}
+		due = append(due, c.Change)
+		return true
+	})
 	v.apply(due)
 }
 
--- a/node/view/restore_test.go
+++ b/node/view/restore_test.go
@@ -59,7 +59,7 @@
 	v.Apply(Targets, nil, end(2, 5), now)
 	assert.Equal(t, []string{"new", "stays"}, usable(v))
 	v.Apply(Targets, []Change{inEra(2, Change{Log: Targets, Key: "ended", Offset: 5})}, end(2, 6), now)
-	now += restoreSettleTime
+	now += targetSettleTime
 	v.Apply(Targets, nil, end(2, 6), now)
 	assert.Equal(t, []string{"lapsed", "new", "stays"}, usable(v))
 }
@@ -87,7 +87,7 @@
 	}
 	assert.Equal(t, [3]bool{false, true, true}, state())
 	v.Apply(Operators, []Change{out(2, 1, "out", true), out(2, 2, "back", false)}, end(2, 3), now)
-	now += restoreSettleTime
+	now += evacuationSettleTime
 	v.Apply(Operators, nil, end(2, 3), now)
 	assert.Equal(t, [3]bool{false, true, false}, state())
 }
@@ -140,3 +140,17 @@
 	assert.Equal(t, uint64(2), c.Change, "a late append of the earlier era counts")
 	assert.True(t, v.IsCellRestored("s"))
 }
+
+// Guards against a target that returns because a copy of the store listed it, although the
+// store was restored again since, from a copy without it.
+func TestSecondRestoreReplacesWhatTheFirstSaid(t *testing.T) {
+	now := 10 * time.Second
+	v := newTestView(&now)
+	v.Apply(Targets, []Change{inEra(1, target(0, "a", false)), inEra(1, target(1, "b", false)), inEra(1, Change{Log: Targets, Key: "b", Offset: 2})}, end(1, 3), now)
+	v.Replace(Targets, []Change{inEra(2, target(0, "a", false)), inEra(2, target(1, "b", false))}, end(2, 2), now)
+	now += time.Second
+	v.Replace(Targets, []Change{inEra(3, target(0, "a", false))}, end(3, 1), now)
+	now += targetSettleTime
+	v.Apply(Targets, nil, end(3, 1), now)
+	assert.Equal(t, []string{"a"}, usable(v))
+}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -122,10 +122,7 @@
 	goneTargets map[string]*entry
 	prunedAt    time.Duration
 	unread      [numLogs][]span
-	// What a restored store said otherwise than the view, in force from settleAt on unless
-	// the store has changed it by then.
-	unsettled []Change
-	settleAt  time.Duration
+	unsettled   []unsettledChange // what a restored store says otherwise than the view
 	// previousEra is the era of the log System before the last restore, and
 	// previousFreshAt when the log was last known to its end in it.
 	previousEra     int64
@@ -227,7 +224,7 @@
 // It removes the other keys, unless the view already knows the log beyond end. If the log
 // is in a later era than the view, the store was restored from a copy that may be older
 // than the view: what the view knows better stays, and the rest is applied at once or
-// after restoreSettleTime; see reconcile.
+// after a settling time; see reconcile.
 func (v *View) Replace(l Log, changes []Change, end int64, began time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -431,7 +428,7 @@
 	}
 	for _, c := range v.unsettled { // they concern only VMs that know as much as this one
 		if c.Offset >= k.Ends[c.Log] {
-			b.Changes = append(b.Changes, c)
+			b.Changes = append(b.Changes, c.Change)
 		}
 	}
 	slices.SortFunc(b.Changes, func(a, b Change) int { return int(a.Offset - b.Offset) })
