The comparison with a restored store's copy is not undone

Cause: the comparison was made by whoever noticed the restore first in a view. An answer of the store that was read at the same time then counted as one of the usual kind, which removes what it lacks and replaces the rest. A VM that learned of the restore from another one took the pending end of an evacuation for a present one, and took all that a VM without a past told it, although that one knows of no key that has gone.

Change: an answer that was asked for before the restore was noticed is dropped; the end of an evacuation waits at each VM; a VM that may miss removals passes on no record of a later era either.

Result: TestSecondAnswerOfRestoredStoreUndoesNothing, TestEvacuationStaysWhereRestoreIsLearnedFromAnotherVM and TestRestoreIsNotLearnedFromVMWithoutItsPast failed before and pass now.

--- a/node/view/restore.go
+++ b/node/view/restore.go
@@ -36,6 +36,7 @@
 	v.logger.Warn("the store was restored from an older copy", "log", l, "era", Era(end), "previous_era", Era(v.ends[l]),
 		"end", RawOffset(end), "previous_end", RawOffset(v.ends[l]))
 	clock := v.now()
+	v.followedAt[l] = clock
 	v.graceUntil = max(v.graceUntil, clock+restoreGrace)
 	if l == System {
 		v.previousEra, v.previousFreshAt = Era(v.ends[l]), v.freshAt[l]
@@ -86,6 +87,8 @@
 // a restored store.
 func (v *View) compareWithCopy(old *entry, c *Change) comparison {
 	switch {
+	case old != nil && old.OutOf != "" && c.isTombstone():
+		return copyMayBeOlder
 	case old == nil || c.isTombstone():
 		return copyIsNewer
 	case old.Config != nil && c.Config != nil:
@@ -212,6 +215,14 @@
 	return neverKnown
 }
 
+// KnewEarlierEra reports whether this process knew the log System before the store was
+// last restored. One that did not may lack records that the others know.
+func (v *View) KnewEarlierEra() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.followedAt[System] > 0
+}
+
 // IsRegistered reports whether the store is known to hold the registration of a VM's
 // process in its present era.
 func (v *View) IsRegistered(vm fleet.VM) bool {
--- a/node/view/restore_test.go
+++ b/node/view/restore_test.go
@@ -154,3 +154,84 @@
 	v.Apply(Targets, nil, end(3, 1), now)
 	assert.Equal(t, []string{"a"}, usable(v))
 }
+
+// Guards against a comparison with the copy that is undone by a second answer of the store:
+// two readers of one VM, or a reader and an exchange with another VM, notice the restore at
+// the same time.
+func TestSecondAnswerOfRestoredStoreUndoesNothing(t *testing.T) {
+	for _, how := range []string{"read", "exchange"} {
+		t.Run(how, func(t *testing.T) {
+			now := 10 * time.Second
+			v, other := newTestView(&now), newTestView(&now)
+			for _, x := range []*View{v, other} {
+				x.Apply(Targets, []Change{inEra(1, target(0, "a", false)), inEra(1, target(1, "leaving", false)), inEra(1, target(2, "ended", false)),
+					inEra(1, target(3, "leaving", true)), inEra(1, Change{Log: Targets, Key: "ended", Offset: 4})}, end(1, 5), now)
+				x.Apply(Operators, []Change{inEra(1, Change{Log: Operators, Key: "evacuate/z2", OutOf: "z2"})}, end(1, 1), now)
+				x.Apply(System, []Change{
+					inEra(1, Change{Log: System, Key: VMKey("vm"), VM: &fleet.VM{ID: "vm", Boot: "new", Era: 1}, Offset: 9}),
+					inEra(1, Change{Log: System, Key: VMKey("lost"), VM: &fleet.VM{ID: "lost", Boot: "b", Era: 1}, Offset: 10}),
+					inEra(1, Change{Log: System, Key: CellKey("s"), Cell: &fleet.Cell{Service: "s", Leader: "lost", Change: 5, Era: 1}, Offset: 11}),
+				}, end(1, 12), now)
+			}
+			began := now
+			now += 4 * time.Millisecond
+			read := func(x *View) {
+				x.Replace(Targets, []Change{inEra(2, target(0, "a", false)), inEra(2, target(1, "leaving", false)), inEra(2, target(2, "ended", false))}, end(2, 3), began)
+				x.Replace(Operators, nil, end(2, 0), began)
+				x.Replace(System, []Change{inEra(2, Change{Log: System, Key: VMKey("vm"), VM: &fleet.VM{ID: "vm", Boot: "old", Era: 1}, Offset: 3})}, end(2, 4), began)
+			}
+			if how == "read" {
+				read(v)
+			} else {
+				read(other)
+				known := v.Known()
+				v.Merge(other.Since(known), known, 0)
+			}
+			read(v)
+			assert.Equal(t, []string{"a"}, usable(v))
+			assert.True(t, v.outOfService("z2"))
+			vm, _ := v.VM("vm")
+			assert.Equal(t, "new", vm.Boot)
+			_, known := v.VM("lost")
+			assert.True(t, known)
+			c, _ := v.Cell("s")
+			assert.NotNil(t, c)
+		})
+	}
+}
+
+// Guards against a data centre that is in use again at once in the view of a VM that learns
+// of the restore from another one.
+func TestEvacuationStaysWhereRestoreIsLearnedFromAnotherVM(t *testing.T) {
+	now := 10 * time.Second
+	reader, follower := newTestView(&now), newTestView(&now)
+	for _, v := range []*View{reader, follower} {
+		v.Apply(Operators, []Change{inEra(1, Change{Log: Operators, Key: "evacuate/z2", Offset: 1, OutOf: "z2"})}, end(1, 2), now)
+	}
+	reader.Replace(Operators, nil, end(2, 1), now)
+	known := follower.Known()
+	follower.Merge(reader.Since(known), known, 0)
+	assert.Equal(t, end(2, 1), follower.End(Operators))
+	assert.True(t, follower.outOfService("z2"))
+	now += evacuationSettleTime
+	follower.Apply(Operators, nil, end(2, 1), now)
+	assert.False(t, follower.outOfService("z2"))
+}
+
+// Guards against a target that stays in use for good: a VM that has started after the
+// restore knows no target that the copy lacks, so that it tells of none that has gone.
+func TestRestoreIsNotLearnedFromVMWithoutItsPast(t *testing.T) {
+	now := 10 * time.Second
+	follower, fresh := newTestView(&now), newTestView(&now)
+	follower.Apply(Targets, []Change{inEra(1, target(0, "a", false)), inEra(1, target(1, "ended", false)), inEra(1, target(2, "a", true))}, end(1, 3), now)
+	fresh.Replace(Targets, []Change{inEra(2, target(0, "a", false)), inEra(2, target(1, "b", false))}, end(2, 2), now)
+	known := follower.Known()
+	follower.Merge(fresh.Since(known), known, 0)
+	assert.Equal(t, end(1, 3), follower.End(Targets), "the log counts as read")
+	assert.Equal(t, []string{"ended"}, usable(follower))
+	now += time.Second
+	follower.Replace(Targets, []Change{inEra(2, target(0, "a", false)), inEra(2, target(1, "b", false))}, end(2, 2), now)
+	now += restoreGrace
+	follower.Apply(Targets, nil, end(2, 2), now)
+	assert.Equal(t, []string{"b"}, usable(follower))
+}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -127,6 +127,7 @@
 	// previousFreshAt when the log was last known to its end in it.
 	previousEra     int64
 	previousFreshAt time.Duration
+	followedAt      [numLogs]time.Duration // when the last restore was noticed in each log, 0 if never
 }
 
 const (
@@ -234,6 +235,9 @@
 		v.advance(l, end, began)
 		return
 	}
+	if v.followedAt[l] > 0 && began <= v.followedAt[l] {
+		return // read before the view has compared the copy with what it knew
+	}
 	if end >= v.ends[l] {
 		v.skipTo(l, end)
 		present := make(map[string]bool, len(changes))
@@ -509,6 +513,11 @@
 			v.logger.Error("could not decode changes from another VM; dropping them", "log", l, "end", b.Positions[l].End, "error", err)
 			continue
 		}
+		if !read && v.known[l] {
+			// Without a position the batch may lack keys of the copy, so that it cannot be
+			// compared with what is known.
+			logChanges = slices.DeleteFunc(logChanges, func(c Change) bool { return Era(c.Offset) > Era(v.ends[l]) })
+		}
 		if read && v.isRestored(l, b.Positions[l].End) {
 			logChanges = v.reconcile(l, logChanges, b.Positions[l].End, false)
 		}
