Stand-in for the store: outages, late writers, atomic era, count of calls

What was missing: after Restore operators and targets wrote again at once, so that nobody saw a restored store that still lacks what they wrote; an outage left the held reads waiting, and writers could append during it. The header Store-Era was set before the delay of a request, so that a slow answer could name an earlier era than its content.

Change: SetDown takes the store away (503, held reads included) while writers keep their newest values; RestoreCopy and WriteAgain split Restore; the era is set under the lock under which a request is carried out; Calls counts requests.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -5,10 +5,12 @@
 package store
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
 	"net/http"
@@ -16,7 +18,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Faults are the faults that the store injects. The zero value means none.
@@ -37,12 +42,11 @@
 type topic struct {
 	records     []record
 	firstOffset int // lowest offset that can still be read
+	// written holds the newest value that Put was given for each key, which its writer
+	// writes again if the store loses it.
+	written map[string][]byte
 }
 
-// ownTopic is the topic that the router writes. The other topics belong to operators and
-// targets, which write again what a restored store has lost.
-const ownTopic = "keyed.mangogate"
-
 // eraHeader is the header of every answer with the store's era.
 const eraHeader = "Store-Era"
 
@@ -52,8 +56,10 @@
 	topics   map[string]*topic
 	faults   Faults
 	rng      *rand.Rand
-	era      int64         // incremented by each Restore
-	appended chan struct{} // closed and replaced by each append to any topic
+	down     bool
+	era      int64         // incremented by each restore
+	appended chan struct{} // closed and replaced by each append to any topic and by restores
+	calls    atomic.Int64
 }
 
 // New returns an empty store whose random faults are drawn from the seed.
@@ -68,8 +74,21 @@
 	s.faults = f
 }
 
+// SetDown takes the store away or brings it back. While it is away, all requests, waiting
+// reads included, are answered with 503.
+func (s *Server) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wakeReads()
+}
+
+// Calls returns the number of requests so far, including those that were refused.
+func (s *Server) Calls() int64 { return s.calls.Load() }
+
 // Put appends a record with the value as JSON to a topic, as an operator or a
-// target would. A nil value appends a tombstone, which removes the key.
+// target would. A nil value appends a tombstone, which removes the key. While the store is
+// away, the value waits for WriteAgain.
 func (s *Server) Put(name, key string, value any) {
 	var content []byte
 	if value != nil {
@@ -77,7 +96,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.append(name, record{key: key, value: content})
+	s.openTopic(name).written[key] = content
+	if !s.down {
+		s.append(name, record{key: key, value: content})
+	}
 }
 
 // Restore replaces the content of the store by a copy of the given age. Later records are
@@ -86,28 +108,55 @@
 func (s *Server) Restore(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.restoreCopy(age)
+	for name := range s.topics {
+		s.writeAgain(name)
+	}
+}
+
+// RestoreCopy is Restore for writers that write nothing again until WriteAgain is called.
+func (s *Server) RestoreCopy(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoreCopy(age)
+}
+
+// WriteAgain appends the newest value that was put for each key of a topic if the topic
+// holds another one.
+func (s *Server) WriteAgain(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeAgain(name)
+}
+
+func (s *Server) restoreCopy(age time.Duration) {
 	s.era++
 	copiedAt := time.Now().Add(-age)
-	for name, t := range s.topics {
+	for _, t := range s.topics {
 		kept := 0
 		for kept < len(t.records) && !t.records[kept].appendedAt.After(copiedAt) {
 			kept++
 		}
-		lost := t.records[kept:]
 		t.records, t.firstOffset = slices.Clone(t.records[:kept]), min(t.firstOffset, kept)
-		if name == ownTopic {
-			continue
-		}
-		newest := map[string]int{}
-		for i, r := range lost {
-			newest[r.key] = i
-		}
-		for i, r := range lost {
-			if newest[r.key] == i {
-				s.append(name, record{key: r.key, value: r.value})
-			}
+	}
+	s.wakeReads()
+}
+
+func (s *Server) writeAgain(name string) {
+	t := s.openTopic(name)
+	held := map[string][]byte{}
+	for _, r := range t.records {
+		held[r.key] = r.value
+	}
+	for _, key := range slices.Sorted(maps.Keys(t.written)) {
+		if value := t.written[key]; !bytes.Equal(held[key], value) {
+			s.append(name, record{key: key, value: value})
 		}
 	}
+}
+
+// wakeReads lets waiting reads look at the store again. It must be called with mu held.
+func (s *Server) wakeReads() {
 	close(s.appended)
 	s.appended = make(chan struct{})
 }
@@ -128,15 +177,14 @@
 	t := s.openTopic(name)
 	r.appendedAt = time.Now()
 	t.records = append(t.records, r)
-	close(s.appended)
-	s.appended = make(chan struct{})
+	s.wakeReads()
 	return len(t.records) - 1
 }
 
 func (s *Server) openTopic(name string) *topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &topic{}
+		t = &topic{written: map[string][]byte{}}
 		s.topics[name] = t
 	}
 	return t
@@ -144,10 +192,11 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	s.mu.Lock()
 	f := s.faults
-	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+	s.setEra(w)
 	s.mu.Unlock()
 	time.Sleep(f.Delay)
 	if f.Refuse || f.RejectIPs[ip] {
@@ -167,6 +216,18 @@
 	}
 }
 
+// setEra sets the header with the era in which a request is carried out. It must be called
+// with mu held.
+func (s *Server) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+}
+
+// errDown means that the store is away.
+var errDown = errors.New("the store is away")
+
+// errConflict means that the topic has another end than the append requires.
+var errConflict = errors.New("the topic has another end")
+
 func (s *Server) serveAppend(w http.ResponseWriter, r *http.Request, name string, f Faults) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil || len(body) < 5 {
@@ -180,26 +241,36 @@
 	loseAnswer := s.rng.Float64() < f.LoseRate
 	s.mu.Unlock()
 	if loseAnswer {
-		time.AfterFunc(f.LostAppendDelay, func() { s.appendIfAt(name, r.URL.Query().Get("asOf"), entry) })
-		panic(http.ErrAbortHandler) // closes the connection without an answer
+		time.AfterFunc(f.LostAppendDelay, func() { _, _ = s.appendIfAt(nil, name, r.URL.Query().Get("asOf"), entry) }) // nobody awaits the result
+		panic(http.ErrAbortHandler)                                                                                    // closes the connection without an answer
 	}
-	offset, ok := s.appendIfAt(name, r.URL.Query().Get("asOf"), entry)
-	if !ok {
+	offset, err := s.appendIfAt(w, name, r.URL.Query().Get("asOf"), entry)
+	switch {
+	case errors.Is(err, errDown):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case err != nil:
 		w.WriteHeader(http.StatusPreconditionFailed)
 	}
 	_ = json.NewEncoder(w).Encode(map[string]int{"offset": offset, "end": offset + 1}) // fails only if the caller has disconnected
 }
 
 // appendIfAt appends a record if the topic ends at offset asOf or asOf is empty. It
-// returns the record's offset and true, or the end of the topic and false.
-func (s *Server) appendIfAt(name, asOf string, r record) (int, bool) {
+// returns the record's offset or, with errConflict, the end of the topic. w may be nil.
+func (s *Server) appendIfAt(w http.ResponseWriter, name, asOf string, r record) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if w != nil {
+		s.setEra(w)
+	}
+	if s.down {
+		return 0, errDown
+	}
 	end := len(s.openTopic(name).records)
 	if asOf != "" && asOf != strconv.Itoa(end) {
-		return end, false
+		return end, errConflict
 	}
-	return s.append(name, r), true
+	return s.append(name, r), nil
 }
 
 func (s *Server) serveRead(w http.ResponseWriter, r *http.Request, name string) {
@@ -213,9 +284,13 @@
 	for {
 		s.mu.Lock()
 		t, changed := s.openTopic(name), s.appended
-		records, first := slices.Clone(t.records), t.firstOffset
-		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10)) // it may have risen during the wait
+		records, first, down := slices.Clone(t.records), t.firstOffset, s.down
+		s.setEra(w) // it may have risen during the wait
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if from < first || from > len(records) {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -249,12 +324,17 @@
 		Offset int    `json:"offset"`
 	}
 	s.mu.Lock()
-	newest := map[string]item{}
+	s.setEra(w)
+	down, newest := s.down, map[string]item{}
 	for i, r := range s.openTopic(name).records {
 		newest[r.key] = item{r.key, base64.StdEncoding.EncodeToString(r.value), i}
 	}
 	end := len(s.openTopic(name).records)
 	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	items := []item{}
 	for _, it := range newest {
 		if it.Value != "" {
