Waits for earlier leaders outlive the leader that knows of them

Some need no restore: a successor by handover of a VM that had taken the cell without a majority waited 2.3 s for keys that the first leader, cut off with its supporters, granted for up to 15 s.

Cause: a leader's wait for grants of earlier leaders was in its memory only. After a handover, a crash, a stop with a deputy or an unanswered handover, the next one waited for the last leader alone. Besides: a handover counted as continuous also if the old leader had no lease; a leader went on after a restore although a VM that it had asked to lead may have done so; a deputy without a lease could not claim its cell, as the others still heard it; a leader that claimed its own cell got no support ever after; a leader's record preceded its registration in a restored store, so that it counted as ended; a process that knew only the copy supported the leader that the copy names. Class: what only one process knows is taken for what all know.

Change: the record of a cell tells for how long grants of earlier leaders may hold, and whether they may be of keys that no record names; successors inherit that, and the leader writes the record again when it is over. A handover tells whether the lease was held. A leader whose handover was not answered gives the cell up after a restore. Claims and records written again need the registration.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -80,6 +80,7 @@
 		t: t, binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d", 20+seed%200, (seed/200)%250), store: store.New(seed),
 		checker: newChecker(), targets: map[string]*targetInstance{}, stop: make(chan struct{}),
 	}
+	f.store.Restore(0) // a store that was never restored is in its first era
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	var err error
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -154,6 +154,12 @@
 	// Hold is how long the leader's grants of keys last; 0 in records of earlier versions,
 	// whose grants last for ShortestHold.
 	Hold time.Duration
+	// EarlierGrants is for how long from its writing on grants of earlier leaders may hold.
+	// A successor of the writer counts it anew.
+	EarlierGrants time.Duration
+	// UnknownHolders tells that such grants may be of keys and to targets that the record
+	// does not name.
+	UnknownHolders bool
 }
 
 // ShortestHold and LongestHold bound the duration of a grant of keys.
--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -20,7 +20,7 @@
 // Step returns the calls that are due. mayRun reports whether the process of a
 // holder may still run; a holder whose process has ended holds nothing.
 func (m *Manager) Step(now time.Duration, mayRun func(Holder) bool) []Action {
-	if m.waitsForUnknown(now) {
+	if m.WaitsForUnknown(now) {
 		return nil
 	}
 	var out []Action
--- a/core/keyspace/keyspace.go
+++ b/core/keyspace/keyspace.go
@@ -183,8 +183,8 @@
 // key is granted before.
 func (m *Manager) ExpectUnknownHolders() { m.unknownHolders = true }
 
-// waitsForUnknown reports whether targets that no assignment names may hold keys.
-func (m *Manager) waitsForUnknown(now time.Duration) bool {
+// WaitsForUnknown reports whether targets that no assignment names may hold keys.
+func (m *Manager) WaitsForUnknown(now time.Duration) bool {
 	return m.unknownHolders && now < m.priorManagerHoldBound
 }
 
@@ -244,7 +244,7 @@
 		return p.Owner, Lost, m.cfg.MaxHoldSinceSend()
 	case p.held():
 		return p.Owner, Held, 0
-	case m.waitsForUnknown(now):
+	case m.WaitsForUnknown(now):
 		return p.Owner, Lost, m.priorManagerHoldBound - now
 	case m.waitsForUnreachable(p):
 		return p.Owner, Lost, p.remainingWait(now)
--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -21,6 +21,10 @@
 // lost.
 var errStoreRestored = errors.New("the store was restored from an older copy")
 
+// errNotRegistered means that the store is not known to hold this VM's registration. Other
+// VMs would take a leader without one for a process that has ended.
+var errNotRegistered = errors.New("the store is not known to hold the registration of this VM")
+
 // appendRetryDelay is the delay before a failed append is retried.
 const appendRetryDelay = 100 * time.Millisecond
 
@@ -120,8 +124,24 @@
 	if recordsLost && !p.afterRestore {
 		return errStoreRestored
 	}
+	if !s.view.IsRegistered(s.self) {
+		return errNotRegistered
+	}
+	hold := current.GrantHold()
+	if recordsLost {
+		hold = fleet.LongestHold
+	}
+	earlier := func() time.Duration {
+		left := p.grantBound() + maxHoldAfterLease(hold)
+		if current != nil {
+			left = max(left, current.EarlierGrants)
+		}
+		return left
+	}
 	record := &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot}
 	if svc.Keyed {
+		record.EarlierGrants = earlier()
+		record.UnknownHolders = recordsLost || current != nil && current.UnknownHolders
 		cfg, _ := s.view.Config()
 		record.Hold = holdFor(cfg, svc.Name)
 		record.Keys = keyspace.New(keyConfig(record.Hold), resolveFences(current, currentNumber), 0).TakeOver()
@@ -130,13 +150,8 @@
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
-	hold := current.GrantHold()
-	if recordsLost {
-		hold = fleet.LongestHold
-	}
-	m := s.inherit(svc, p.grantBound()+maxHoldAfterLease(hold))
-	if recordsLost && m != nil {
-		m.ExpectUnknownHolders()
+	m := s.inherit(svc, earlier())
+	if record.UnknownHolders {
 		s.logger.Warn("grants no keys until those that lost records may have granted are free", "service", svc.Name, "for", m.PriorManagerHoldBound()-s.clock.Now())
 	}
 	s.startLeading(svc.Name, m, number)
@@ -155,13 +170,21 @@
 
 // inherit builds the key manager of a cell from its newest record, whose
 // assignments it takes over. bound is how long grants of the previous leader may still
-// be in effect. It returns nil for a service without keys.
+// be in effect; those of leaders before it may be so for as long as the record tells. It
+// returns nil for a service without keys.
 func (s *Service) inherit(svc fleet.Service, bound time.Duration) *keyspace.Manager {
 	if !svc.Keyed {
 		return nil
 	}
 	c, number := s.view.Cell(svc.Name)
-	return keyspace.New(keyConfig(c.GrantHold()), resolveFences(c, number), s.clock.Now()+bound)
+	if c == nil {
+		return keyspace.New(keyConfig(c.GrantHold()), nil, s.clock.Now()+bound)
+	}
+	m := keyspace.New(keyConfig(c.GrantHold()), resolveFences(c, number), s.clock.Now()+max(bound, c.EarlierGrants))
+	if c.UnknownHolders {
+		m.ExpectUnknownHolders()
+	}
+	return m
 }
 
 // maxHoldAfterLease returns how long a target may hold keys after the lease of the
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -9,6 +9,7 @@
 
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 )
@@ -38,6 +39,8 @@
 	Learned lending.Learned
 	// Record is that record if a restored store may lack it.
 	Record []view.Change
+	// HoldsLease tells that the present leader held its lease when it stopped granting.
+	HoldsLease bool
 }
 
 // TakeReply is the result of a Take call.
@@ -88,6 +91,7 @@
 	l.mu.Lock()
 	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned()}
 	l.mu.Unlock()
+	args.HoldsLease = l.keys == nil || l.holdsLease()
 	if restored {
 		args.Record = s.recordOf(l.service)
 	}
@@ -159,16 +163,17 @@
 	}
 	if c, _ := l.view.Cell(l.service); c.Change == record.Change {
 		l.logger.Warn("grants no keys until a new record is written: a VM that was asked to lead the cell did not answer and may still take it")
-		number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: c.Leader, Boot: c.Boot, Keys: c.Keys, Hold: c.Hold})
+		l.mu.Lock()
+		again := l.newRecord(c.Keys)
+		l.mu.Unlock()
+		number, err := l.s.write(ctx, again)
 		if err == nil {
 			l.s.resume(l, number)
 			return
 		}
 		if errors.Is(err, errStoreRestored) {
-			err = l.writeAgain(ctx) // a record that a candidate wrote before the restore is lost
-		}
-		if err == nil {
-			l.handoverStarted.Store(false)
+			// A candidate may have led and moved keys, and its records are lost.
+			l.s.stopLeading(l.service, l, "the store was restored after a handover without an answer")
 			return
 		}
 		l.logger.Warn("could not write the record that continues this VM's leadership", "error", err)
@@ -182,7 +187,7 @@
 
 // resume restarts the leadership of a cell from a new record of this VM. Assignments
 // that were proposed on top of the previous record are dropped. Owners and prior holders
-// may hold keys by the last grants before the handover.
+// may hold keys by the last grants before the handover, and by those of earlier leaders.
 func (s *Service) resume(l *leadership, number int64) {
 	cfg, _ := s.view.Config()
 	svc, ok := cfg.Service(l.service)
@@ -314,5 +319,9 @@
 	s.mu.Lock()
 	s.learnedFromLeader[svc.Name] = a.Learned
 	s.mu.Unlock()
-	return s.claim(ctx, svc, c, succession{grantBound: fixedBound(0), continuous: true})
+	p := succession{grantBound: fixedBound(0), continuous: a.HoldsLease}
+	if !a.HoldsLease && s.view.IsCellRestored(svc.Name) {
+		p = succession{grantBound: fixedBound(support.MaxExtension), afterRestore: true}
+	}
+	return s.claim(ctx, svc, c, p)
 }
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -105,6 +105,7 @@
 	// VM is the leader itself.
 	deputyFor        *fleet.Cell
 	hold             time.Duration // of the grants, as the record of the cell tells
+	startedAt        time.Duration
 	claimingAsDeputy atomic.Bool
 	writingAgain     atomic.Bool // set while writeAgain runs
 	// support tracks the leases of the VMs that support this leader. mu guards
@@ -117,7 +118,7 @@
 func (s *Service) newLeadership(service string, m *keyspace.Manager) *leadership {
 	c, _ := s.view.Cell(service)
 	l := &leadership{lenderDriver: newLenderDriver(s, service, s.retry.leaderConfig()), s: s, done: make(chan struct{}), hold: c.GrantHold()}
-	l.keys = m
+	l.keys, l.startedAt = m, l.now()
 	if m != nil {
 		l.load = keyspace.NewLoad(l.now())
 	}
@@ -156,12 +157,12 @@
 	pause = keyStepInterval
 	defer l.s.guard.Recover("lend slots and manage the keys of a cell", "service", l.service)
 	pause = l.tick()
-	if l.deputyFor == nil && !l.handoverStarted.Load() && l.view.IsCellRestored(l.service) && l.writingAgain.CompareAndSwap(false, true) {
+	if l.mustWriteAgain() && l.writingAgain.CompareAndSwap(false, true) {
 		go func() {
-			defer l.s.guard.Recover("write the record of a cell to the restored store", "service", l.service)
+			defer l.s.guard.Recover("write the record of a cell again", "service", l.service)
 			defer l.writingAgain.Store(false)
 			if err := l.writeAgain(ctx); err != nil {
-				l.logger.Info("could not write the record of the cell to the restored store", "service", l.service, "error", err)
+				l.logger.Info("could not write the record of the cell again", "service", l.service, "error", err)
 				time.Sleep(appendRetryDelay)
 			}
 		}()
@@ -367,35 +368,77 @@
 	return out
 }
 
-// writeAgain writes the present key assignments as a record of the store's new era, so
-// that the store holds them again and confirms this leader. It needs an unbroken lease:
+// mustWriteAgain reports whether the record of the cell has to be written again: the store
+// was restored since, or it tells of earlier grants that have expired.
+func (l *leadership) mustWriteAgain() bool {
+	return l.deputyFor == nil && !l.handoverStarted.Load() && (l.view.IsCellRestored(l.service) || l.overstatesEarlierGrants())
+}
+
+// writeAgain writes the present key assignments as a record of the store's present era, so
+// that the store holds them and confirms this leader. It needs an unbroken lease:
 // otherwise another VM may have led the cell, and its records may be lost.
 func (l *leadership) writeAgain(ctx context.Context) error {
-	record := &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Hold: l.hold}
-	if l.keys != nil {
-		l.mu.Lock()
-		record.Keys = l.keys.Assignments()
-		pending := l.keys.Pending()
-		l.mu.Unlock()
-		switch {
-		case pending:
-			return errors.New("a proposal of key assignments is being written")
-		case !l.holdsLease():
-			return errors.New("the lease of this leader has ended")
+	if l.keys != nil && !l.holdsLease() {
+		return errors.New("the lease of this leader has ended")
+	}
+	if !l.view.IsRegistered(l.s.self) {
+		if err := l.s.readSystem(ctx); err != nil {
+			return err
+		}
+		if !l.view.IsRegistered(l.s.self) {
+			return errNotRegistered
 		}
 	}
+	record, err := l.presentRecord()
+	if err != nil {
+		return err
+	}
 	number, err := l.s.write(ctx, record)
 	if err != nil {
 		return err
 	}
-	l.logger.Info("wrote the record of the cell to the restored store", "service", l.service, "number", number, "ranges", len(record.Keys))
+	l.logger.Info("wrote the record of the cell again", "service", l.service, "number", number, "ranges", len(record.Keys))
 	return nil
 }
 
+// presentRecord returns a record with the present key assignments. It fails while a
+// proposal is being written.
+func (l *leadership) presentRecord() (*fleet.Cell, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.keys == nil {
+		return l.newRecord(nil), nil
+	}
+	if l.keys.Pending() {
+		return nil, errors.New("a proposal of key assignments is being written")
+	}
+	return l.newRecord(l.keys.Assignments()), nil
+}
+
+// newRecord returns a record of this leader. It is called with mu held.
+func (l *leadership) newRecord(assignments []keyspace.Assignment) *fleet.Cell {
+	c := &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Hold: l.hold, Keys: assignments}
+	if l.keys != nil {
+		now := l.now()
+		c.EarlierGrants, c.UnknownHolders = max(0, l.keys.PriorManagerHoldBound()-now), l.keys.WaitsForUnknown(now)
+	}
+	return c
+}
+
+// overstatesEarlierGrants reports whether the record of the cell tells that grants of
+// earlier leaders may hold although none can any more.
+func (l *leadership) overstatesEarlierGrants() bool {
+	c, _ := l.view.Cell(l.service)
+	return l.keys != nil && c != nil && c.EarlierGrants > 0 && l.confirmed() && l.previousGrantsLeft() <= 0
+}
+
 // commit writes proposed assignments to the store, after which they take effect.
 func (l *leadership) commit(ctx context.Context, assignments []keyspace.Assignment) {
 	began := l.now()
-	number, err := l.s.write(ctx, &fleet.Cell{Service: l.service, Leader: l.s.self.ID, Boot: l.s.self.Boot, Keys: assignments, Hold: l.hold})
+	l.mu.Lock()
+	record := l.newRecord(assignments)
+	l.mu.Unlock()
+	number, err := l.s.write(ctx, record)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if errors.Is(err, errStoreRestored) {
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -49,7 +49,7 @@
 func (h *handler) Support(a SupportArgs, reply *SupportReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Support")
 	c, _ := h.s.view.Cell(a.Service)
-	leading := c != nil && c.Leader == a.Leader && c.Boot == a.Boot && h.s.seesOwnRegistration()
+	leading := c != nil && c.Leader == a.Leader && c.Boot == a.Boot && h.s.seesOwnRegistration() && !h.s.mayLackRecords(a.Service)
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
 	reply.Supports = h.s.follower(a.Service).GrantSupport(h.s.clock.Now(), a.Leader+a.Boot, leading)
@@ -64,20 +64,30 @@
 	return known && vm.Boot == s.self.Boot
 }
 
+// mayLackRecords reports whether this process has started after a restore of the store that
+// may have lost the newest records of a cell. It must not support a leader that such a
+// record replaced.
+func (s *Service) mayLackRecords(service string) bool {
+	return !s.view.KnewEarlierEra() && s.view.IsCellRestored(service)
+}
+
 // Release makes this VM stop supporting a process, unless the process or its deputy
 // still answers this VM.
 func (h *handler) Release(a SupportArgs, reply *ReleaseReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Release")
 	leader, c, known := h.s.currentLeader(a.Service)
 	same := known && c.Leader == a.Leader && c.Boot == a.Boot
-	if same && a.Claimant != a.Leader && h.s.heardRecently(leader.ID, leader.Boot) {
+	if same && a.Claimant != leader.ID && h.s.heardRecently(leader.ID, leader.Boot) {
 		reply.Hears = true
 		return nil
 	}
 	if newest, _ := h.s.view.Cell(a.Service); a.AfterRestore && newest != nil && newest.Change != a.Change {
 		reply.Record = h.s.recordOf(a.Service)
 	}
-	reply.Left, reply.Boot = h.s.releaseSupport(a), h.s.self.Boot
+	reply.Boot = h.s.self.Boot
+	if a.Claimant != a.Leader { // a leader that claims its own cell needs support again
+		reply.Left = h.s.releaseSupport(a)
+	}
 	return nil
 }
 
@@ -194,7 +204,10 @@
 	ok = true
 	// A VM may have supported the leader and then restarted, so the support of its
 	// earlier process may last for up to one more lease.
-	r.left = max(support.Lease, s.releaseSupport(args))
+	r.left = support.Lease
+	if args.Claimant != args.Leader {
+		r.left = max(r.left, s.releaseSupport(args))
+	}
 	callAll(ctx, s, s.others(r.record.Leader), "Release", args, func(vm fleet.VM, reply ReleaseReply) {
 		if reply.Hears {
 			ok = false
@@ -284,7 +297,8 @@
 	if r.restored {
 		hold = fleet.LongestHold
 	}
-	now, bound := l.now(), leaseEnds+maxHoldAfterLease(hold)
+	// Grants of leaders before the previous one may hold for as long as its record told.
+	now, bound := l.now(), max(leaseEnds+maxHoldAfterLease(hold), l.startedAt+r.record.EarlierGrants)
 	l.keys.LowerPriorManagerHoldBound(now, bound)
 	l.logger.Info("grants of the previous leader expire earlier than assumed at the claim", "leader", r.record.Leader, "boot", r.record.Boot, "within", bound-now, "why", why)
 }
