Soak: one process a VM when stops and kills of it overlap

What happened: of two faults that stop the same VM, the second returned at once from exec.Cmd.Wait, which may be called once, and started the VM while its process still ran. When that ended, the first fault forgot the new process, which then ran to the end of the test and longer, beside further ones of its VM: 39 such processes were left, among them those of a run of 16 VMs that was ended.

Change: one goroutine waits for each process, and a fault forgets only the process that it has stopped.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -35,6 +35,7 @@
 	name, ip, settings, log string
 	mu                      sync.Mutex
 	cmd                     *exec.Cmd
+	exited                  chan struct{} // closed when the process of cmd has ended
 	paused                  bool
 	startedAt               time.Time
 }
@@ -140,7 +141,12 @@
 	cmd := exec.Command(f.binary, "platform", "--settings", v.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	require.NoError(f.t, cmd.Start())
-	v.cmd, v.startedAt = cmd, time.Now()
+	exited := make(chan struct{})
+	go func() {
+		_ = cmd.Wait() // an error is normal for a killed process
+		close(exited)
+	}()
+	v.cmd, v.exited, v.startedAt = cmd, exited, time.Now()
 }
 
 // signal sends a signal to the VM's process, if there is one.
@@ -159,17 +165,19 @@
 	v.signal(syscall.SIGCONT)
 	v.signal(s)
 	v.mu.Lock()
-	cmd := v.cmd
+	cmd, exited := v.cmd, v.exited
 	v.mu.Unlock()
 	if cmd == nil {
 		return
 	}
 	kill := time.AfterFunc(shutdownGrace+time.Second, func() { _ = cmd.Process.Kill() })
-	_ = cmd.Wait() // an error is normal for a killed process
+	<-exited
 	kill.Stop()
 	v.mu.Lock()
-	v.cmd, v.paused = nil, false
-	v.mu.Unlock()
+	defer v.mu.Unlock()
+	if v.cmd == cmd { // another fault may have started the VM again
+		v.cmd, v.paused = nil, false
+	}
 }
 
 func (f *fleet) close() {
--- a/cmd/soak/restore_test.go
+++ b/cmd/soak/restore_test.go
@@ -190,6 +190,9 @@
 		{"leader_killed_in_outage", []restore{{age: 4 * time.Second, outage: 2 * time.Second, rewriteDelay: 600 * time.Millisecond}},
 			func(f *fleet) {
 				leader := f.leaderOf(keyedService)
+				if !assert.NotNil(f.t, leader, "nobody leads the service") {
+					return
+				}
 				time.Sleep(seriesInterval + 500*time.Millisecond)
 				leader.shutdown(syscall.SIGKILL)
 				time.Sleep(time.Second)
