--- a/node/cell/restore_test.go
+++ b/node/cell/restore_test.go
@@ -57,6 +57,7 @@
 // are below those that targets have seen. It must write its assignments again, under
 // which the keys stay held, and the next number must exceed all earlier ones.
 func TestLeaderWritesItsRecordToRestoredStore(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{}
 	leader, others := startLeader(t, store, 3)
 	kept := store.size()
@@ -87,8 +88,9 @@
 // and with it the last VM that knew of it: any target may hold the key until the last
 // grant of the lost leader has expired.
 func TestClaimOnRestoredStoreWaitsForLostGrants(t *testing.T) {
-	t.Run("some records lost", func(t *testing.T) { testClaimOnRestoredStore(t, (*memoryStore).size) })
-	t.Run("all records lost", func(t *testing.T) { testClaimOnRestoredStore(t, func(*memoryStore) int { return 0 }) })
+	t.Parallel()
+	t.Run("some records lost", func(t *testing.T) { t.Parallel(); testClaimOnRestoredStore(t, (*memoryStore).size) })
+	t.Run("all records lost", func(t *testing.T) { t.Parallel(); testClaimOnRestoredStore(t, func(*memoryStore) int { return 0 }) })
 }
 
 // testClaimOnRestoredStore restores a store to as many records as keep returns before keys
@@ -120,6 +122,7 @@
 // Guards against a leader that goes on after its lease has ended and the store was
 // restored: another VM may have led since, and its records are lost.
 func TestLeaderWithoutLeaseDoesNotGoOnAfterRestore(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{}
 	leader, others := startLeader(t, store, 2)
 	l := leader.leadershipOf("s")
@@ -138,6 +141,7 @@
 // Guards against an append without an answer that the store carries out after a restore,
 // when the log has the same end again: its record must not replace one of the new era.
 func TestLateAppendOfEarlierEraIsOverwritten(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{}
 	store.era = 1
 	leader, others := startLeader(t, store, 2)
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -63,8 +63,10 @@
 // Guards against two holders of a key after two successions in a row: the wait for holders
 // that lost records name was known only to the first successor, and ended with it.
 func TestWaitForUnknownHoldersSurvivesSuccession(t *testing.T) {
+	t.Parallel()
 	for _, how := range []string{"handover", "crash", "deputy", "resume"} {
 		t.Run(how, func(t *testing.T) {
+			t.Parallel()
 			store := &memoryStore{era: 1}
 			leader, _ := startLeader(t, store, 1)
 			kept := store.size()
@@ -113,6 +115,7 @@
 // Guards against two leaders that grant the same keys: one that is cut off with its
 // supporters goes on for longer than the successor of its successor waited.
 func TestBoundOfEarlierLeaderSurvivesHandover(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{}
 	leaderStore := &cuttableStore{memoryStore: store}
 	leader := startVM(t, "vm-0", leaderStore)
@@ -138,6 +141,7 @@
 // Guards against a successor that counts on grants of earlier leaders long after they have
 // expired: the leader has to write a record without them.
 func TestRecordForgetsExpiredEarlierGrants(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{}
 	leader, others := startLeader(t, store, 2)
 	leader.Retire(context.Background())
@@ -150,6 +154,7 @@
 // Guards against a cell without a leader for good: a deputy whose lease has ended when the
 // store is restored still answers the other VMs, which refused to let it claim the cell.
 func TestDeputyWithoutLeaseClaimsItsCellAfterRestore(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leader, others := startLeader(t, store, 4)
 	store.setDown(true)
@@ -180,6 +185,7 @@
 // Guards against a leader that never gets support again because it claimed its own cell
 // after a restore of the store.
 func TestLeaderThatClaimedItsOwnCellGetsSupport(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leader, others := startLeader(t, store, 2)
 	restored := SupportArgs{Service: "s", Leader: leader.self.ID, Boot: leader.self.Boot, Claimant: leader.self.ID, AfterRestore: true}
@@ -196,6 +202,7 @@
 // the store was restored, hands its cell over, and the record of the VM that led meanwhile
 // is lost.
 func TestHandoverWithoutLeaseIsNoContinuousSuccession(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leaderStore := &cuttableStore{memoryStore: store}
 	leader := startVM(t, "vm-0", leaderStore)
@@ -222,6 +229,7 @@
 // Guards against two holders of a key: a leader goes on after a restore although a VM that
 // it had asked to lead may have done so, whose records are lost.
 func TestUnansweredHandoverAcrossRestoreEndsLeadership(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leader, _ := startLeader(t, store, 2)
 	l := leader.leadershipOf("s")
@@ -242,6 +250,7 @@
 // Guards against support for a leader that was replaced: a process that has started after a
 // restore knows only the copy, in which its successor's record may be missing.
 func TestProcessStartedAfterRestoreSupportsNoLeaderOfTheCopy(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leaderStore := &cuttableStore{memoryStore: store}
 	leader := startVM(t, "vm-0", leaderStore)
@@ -259,6 +268,7 @@
 // Guards against a live leader that counts as ended: its record of the new era preceded its
 // registration there, so that a VM that started in between knew the one without the other.
 func TestRecordFollowsRegistrationInRestoredStore(t *testing.T) {
+	t.Parallel()
 	store := &memoryStore{era: 1}
 	leader, _ := startLeader(t, store, 3)
 	store.restore(0)
