No key moves are proposed while a leader writes its record again

Cause: a leader writes its record again 2 to 6 s after it has taken a cell. A proposal written at the same moment finds another record than the one that it was made for and stays pending, as if another VM led: this leader would never move keys again. Class: two writers of one record in one process, of which each takes the other for another leader. Change: nothing is proposed while the record is written again; it is not written while a proposal is pending, as before. Result: TestNoProposalWhileRecordIsWrittenAgain fails without the change and passes with it.

--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -330,7 +330,8 @@
 		}
 		return
 	}
-	if !l.confirmed() || l.view.IsCellRestored(l.service) {
+	// A proposal beside writeAgain would find the record changed, and stay pending for good.
+	if !l.confirmed() || l.view.IsCellRestored(l.service) || l.writingAgain.Load() {
 		return
 	}
 	if assignments, change := l.propose(); change {
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -282,3 +282,19 @@
 	require.Eventually(t, func() bool { return store.cellRecords() == 1 && !leader.view.IsCellRestored("s") }, time.Second, 5*time.Millisecond)
 	require.NoError(t, leader.leadershipOf("s").mayGrant())
 }
+
+// Guards against a leader that never moves keys again: a proposal that is written beside the
+// leader's own record finds another record than the one that it was made for.
+func TestNoProposalWhileRecordIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	leader, others := startLeader(t, &memoryStore{}, 2)
+	l := leader.leadershipOf("s")
+	require.Eventually(t, func() bool { return l.writingAgain.CompareAndSwap(false, true) }, time.Second, time.Millisecond)
+	replaceTarget(append(others, leader))
+	for end := time.Now().Add(2 * planInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c, _ := leader.view.Cell("s")
+		require.Equal(t, "t", c.Keys[0].Owner.Target)
+	}
+	l.writingAgain.Store(false)
+	requireHeld(t, leader, "u")
+}
