A registration that a late append replaced is renewed

Found by the review; not seen.

Cause: a VM registered once in an era. An append of its earlier process that the store carries out late replaces the entry; other VMs then take the running process for one that has ended, and since it may not lead. Change: the VM registers again once it has read beyond its entry and the entry is another one.

--- a/node/feed/feed.go
+++ b/node/feed/feed.go
@@ -146,25 +146,27 @@
 }
 
 // register appends this VM's entry to the system log, once this VM has read that log and
-// again whenever a restored store lacks the entry. It retries until that succeeds.
+// again whenever the log no longer holds the entry: a restored store may lack it, and a
+// late append of an earlier process may replace it. It retries until that succeeds.
 func (f *Feed) register(ctx context.Context) {
 	defer f.wg.Done()
-	registeredIn := int64(-1) // era of the last registration
+	const notYet = -1
+	registeredAt := int64(notYet) // position of the last entry
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		era := view.Era(f.view.End(view.System))
-		if f.view.Staleness(view.System) >= neverRead || era == registeredIn || registeredIn >= 0 && f.view.IsRegistered(f.self) {
-			sleep(ctx, f.registrationCheckInterval(registeredIn >= 0))
+		end := f.view.End(view.System)
+		if f.view.Staleness(view.System) >= neverRead || registeredAt != notYet && (end <= registeredAt || f.view.IsRegistered(f.self)) {
+			sleep(ctx, f.registrationCheckInterval(registeredAt != notYet))
 			continue
 		}
-		vm := f.self
+		vm, era := f.self, view.Era(end)
 		vm.Era = era
 		position, err := f.store.Append(ctx, view.Change{Log: view.System, Key: view.VMKey(f.self.ID), VM: &vm}, view.AnyOffset)
 		if err == nil {
 			f.logger.Info("registered this VM in the system log", "vm", f.self.ID, "boot", f.self.Boot, "era", era, "position", position)
-			registeredIn, backoff = era, minBackoff
+			registeredAt, backoff = position, minBackoff
 			for ctx.Err() == nil && view.Era(position) > view.Era(f.view.End(view.System)) {
-				registeredIn = -1 // the entry names an earlier era than the store's
+				registeredAt = notYet // the entry names an earlier era than the store's
 				sleep(ctx, pollInterval)
 			}
 			continue
