--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -44,7 +44,9 @@
 			}
 			front := f.vms[i%len(f.vms)].front
 			wg.Go(func() {
-				status := get(&client, front, path+newID(), randomKey())
+				id, key := newID(), randomKey()
+				status := get(&client, front, path+id, id, key)
+				f.note("request %s, key %d, sent to %s: %d", id, key, front, status)
 				mu.Lock()
 				defer mu.Unlock()
 				statuses[status]++
@@ -59,11 +61,11 @@
 }
 
 // get sends one read and returns the status, 0 for no answer.
-func get(client *http.Client, front, path string, key int) int {
+func get(client *http.Client, front, path, id string, key int) int {
 	req, err := http.NewRequest(http.MethodGet, "http://"+front+path, nil)
 	must(err)
 	req.Host = host
-	req.Header.Set("Attempt-Id", newID())
+	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Request-Deadline", "1200")
 	req.Header.Set("Shard-Key", strconv.Itoa(key))
 	resp, err := client.Do(req)
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -206,8 +206,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.events = append(f.events, e)
-	text, _ := json.Marshal(e)
-	fmt.Fprintf(f.record, "%8.3f  upstream %s\n", float64(e.At-f.began.UnixNano())/1e9, text)
+	fmt.Fprintf(f.record, "%8.3f  %s\n", float64(e.At-f.began.UnixNano())/1e9, e)
 }
 
 // kill ends the process of an upstream with SIGKILL.
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -38,6 +38,17 @@
 	Detail  string `json:"detail,omitempty"`
 }
 
+// String returns the line of the record for an event.
+func (e event) String() string {
+	switch e.Kind {
+	case "run":
+		return fmt.Sprintf("%s runs %s, key %d, %s", e.ID, e.Request, e.From, e.Detail)
+	case "grant", "refused-grant", "release":
+		return fmt.Sprintf("%s born %d: %s of %d to %d, generation %d, %g s", e.ID, e.Born, e.Kind, e.From, e.To, e.Fence, e.HoldS)
+	}
+	return fmt.Sprintf("%s born %d: %s", e.ID, e.Born, e.Kind)
+}
+
 // lease is a grant of one key.
 type lease struct {
 	fence   int64
