--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*fleet) int{
 	"restart-same-id": restartSameID,
 	"half-close":      halfClose,
+	"big-uploads":     bigUploads,
 }
 
 func main() {
