--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -54,6 +55,7 @@
 	id   string
 	args []string
 	cmd  *exec.Cmd
+	in   io.WriteCloser // takes orders; see upstream.obey
 	done chan struct{}
 }
 
@@ -184,6 +186,8 @@
 	s.cmd.Stderr = os.Stderr
 	out, err := s.cmd.StdoutPipe()
 	must(err)
+	s.in, err = s.cmd.StdinPipe()
+	must(err)
 	must(s.cmd.Start())
 	s.done = make(chan struct{})
 	done, cmd := s.done, s.cmd
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -25,6 +25,7 @@
 	"restart-same-id": restartSameID,
 	"half-close":      halfClose,
 	"big-uploads":     bigUploads,
+	"copy-of-grant":   copyOfGrant,
 }
 
 func main() {
--- a/review/standins/owner.go
+++ b/review/standins/owner.go
@@ -41,7 +41,7 @@
 		time.Sleep(restartInterval)
 	}
 	f.noteLoad(stop())
-	return f.checkOwners()
+	return f.checkOwners("OWNER broken")
 }
 
 // span is a time during which a process of an upstream holds a key.
@@ -53,8 +53,9 @@
 }
 
 // checkOwners applies the rule OWNER to the grants, releases and ends that the upstreams
-// told: no two upstreams that are up hold a key for over half a second.
-func (f *fleet) checkOwners() int {
+// told: no two upstreams that are up hold a key for over half a second. What it finds is
+// noted under the given heading.
+func (f *fleet) checkOwners(heading string) int {
 	f.mu.Lock()
 	events := append([]event{}, f.events...)
 	f.mu.Unlock()
@@ -71,14 +72,14 @@
 				status = broken
 				pair := a.process + " and " + b.process
 				if seen[pair]++; seen[pair] == 1 {
-					f.note("OWNER broken: key %d was held by %s (generation %d, %.3f to %.3f s) and %s (generation %d, %.3f to %.3f s), both for %s",
-						key, a.process, a.fence, f.at(a.from), f.at(a.to), b.process, b.fence, f.at(b.from), f.at(b.to), overlap)
+					f.note("%s: key %d was held by %s (generation %d, %.3f to %.3f s) and %s (generation %d, %.3f to %.3f s), both for %s",
+						heading, key, a.process, a.fence, f.at(a.from), f.at(a.to), b.process, b.fence, f.at(b.from), f.at(b.to), overlap)
 				}
 			}
 		}
 	}
 	for pair, n := range seen {
-		f.note("OWNER broken: %s held %d of the %d keys looked at both for over %s", pair, n, keys/keyStep, mostOverlap)
+		f.note("%s: %s held %d of the %d keys looked at both for over %s", heading, pair, n, keys/keyStep, mostOverlap)
 	}
 	return status
 }
@@ -103,7 +104,7 @@
 		case key < e.From || key > e.To:
 		case e.Kind == "release":
 			end(e.ID, e.At)
-		case e.Kind == "grant":
+		case e.Kind == "grant" || e.Kind == "late-grant":
 			until := e.At + int64(e.HoldS*float64(time.Second))
 			if s := open[e.ID]; s != nil && s.to >= e.At {
 				s.to, s.fence = until, e.Fence
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -43,7 +43,7 @@
 	switch e.Kind {
 	case "run":
 		return fmt.Sprintf("%s runs %s, key %d, %s", e.ID, e.Request, e.From, e.Detail)
-	case "grant", "refused-grant", "release":
+	case "grant", "late-grant", "refused-grant", "refused-late-grant", "unanswered-grant", "release":
 		return fmt.Sprintf("%s born %d: %s of %d to %d, generation %d, %g s", e.ID, e.Born, e.Kind, e.From, e.To, e.Fence, e.HoldS)
 	}
 	return fmt.Sprintf("%s born %d: %s", e.ID, e.Born, e.Kind)
@@ -72,11 +72,13 @@
 	freed    *sync.Cond
 	onKey    map[int]int
 	sequence int
+	state    string
 	out      *json.Encoder
+	faults   *faults
 }
 
 func runUpstream(args []string) {
-	u := &upstream{started: time.Now(), onKey: map[int]int{}, leases: make([]lease, keys), out: json.NewEncoder(os.Stdout)}
+	u := &upstream{started: time.Now(), onKey: map[int]int{}, leases: make([]lease, keys), state: "ready", out: json.NewEncoder(os.Stdout), faults: &faults{}}
 	u.born = u.started.UnixMilli()
 	u.freed = sync.NewCond(&u.mu)
 	fs := flag.NewFlagSet("upstream", flag.ExitOnError)
@@ -95,8 +97,14 @@
 		os.Exit(couldNot)
 	}
 	u.log(event{Kind: "up"})
-	go u.heartbeats()
-	_ = http.Serve(l, u)
+	go u.obey(os.Stdin)
+	go func() {
+		for {
+			u.register()
+			time.Sleep(heartbeat)
+		}
+	}()
+	u.serve(l)
 }
 
 func (u *upstream) log(e event) {
@@ -118,19 +126,19 @@
 	return max(0, upstreamWarmUp-time.Since(u.started))
 }
 
-func (u *upstream) heartbeats() {
+// register writes the upstream's entry to the store.
+func (u *upstream) register() {
+	u.mu.Lock()
+	u.sequence++
+	entry, _ := json.Marshal(map[string]any{
+		"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": upstreamSlots, "state": u.state,
+		"warmupLeftS": u.warmUpLeft().Seconds(), "sequence": u.sequence, "born": u.born,
+	})
+	u.mu.Unlock()
 	client := http.Client{Timeout: time.Second}
-	for {
-		u.sequence++
-		entry, _ := json.Marshal(map[string]any{
-			"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": upstreamSlots, "state": "ready",
-			"warmupLeftS": u.warmUpLeft().Seconds(), "sequence": u.sequence, "born": u.born,
-		})
-		resp, err := client.Post("http://"+u.store+"/put?"+url.Values{"topic": {"keyed.servers"}, "key": {u.id}}.Encode(), "application/json", bytes.NewReader(entry))
-		if err == nil {
-			resp.Body.Close()
-		}
-		time.Sleep(heartbeat)
+	resp, err := client.Post("http://"+u.store+"/put?"+url.Values{"topic": {"keyed.servers"}, "key": {u.id}}.Encode(), "application/json", bytes.NewReader(entry))
+	if err == nil {
+		resp.Body.Close()
 	}
 }
 
@@ -152,40 +160,51 @@
 }
 
 func (u *upstream) serveKeys(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
-	var c struct {
-		From, To int
-		Fence    int64
-		HoldS    float64
-	}
+	var c keyCall
 	if json.NewDecoder(r.Body).Decode(&c) != nil || c.From < 0 || c.To < c.From || c.To >= keys {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.URL.Path == "/grant" {
+		w.WriteHeader(u.grant(c, time.Now(), "grant"))
+		return
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if r.URL.Path == "/release" {
-		for k := c.From; k <= c.To; k++ {
-			u.leases[k].until = time.Time{}
-		}
-		u.logLocked(event{Kind: "release", From: c.From, To: c.To, Fence: c.Fence})
-		for u.worksOn(c.From, c.To) {
-			u.freed.Wait()
-		}
-		w.Header().Set("Handover", fmt.Sprintf("%x", c.Fence))
-		return
+	for k := c.From; k <= c.To; k++ {
+		u.leases[k].until = time.Time{}
+	}
+	u.logLocked(event{Kind: "release", From: c.From, To: c.To, Fence: c.Fence})
+	for u.worksOn(c.From, c.To) {
+		u.freed.Wait()
 	}
+	w.Header().Set("Handover", fmt.Sprintf("%x", c.Fence))
+}
+
+// keyCall is the body of a grant or a release.
+type keyCall struct {
+	From, To int
+	Fence    int64
+	HoldS    float64
+}
+
+// grant takes keys for a time that counts from the arrival of the call, and returns the
+// status of the answer. kind is the kind of the event.
+func (u *upstream) grant(c keyCall, arrived time.Time, kind string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	for k := c.From; k <= c.To; k++ {
 		if u.leases[k].highest > c.Fence {
-			u.logLocked(event{Kind: "refused-grant", From: c.From, To: c.To, Fence: c.Fence})
-			w.WriteHeader(http.StatusConflict)
-			return
+			u.logLocked(event{Kind: "refused-" + kind, From: c.From, To: c.To, Fence: c.Fence})
+			return http.StatusConflict
 		}
 	}
+	until := arrived.Add(time.Duration(c.HoldS * float64(time.Second)))
 	for k := c.From; k <= c.To; k++ {
-		u.leases[k] = lease{c.Fence, arrived.Add(time.Duration(c.HoldS * float64(time.Second))), c.Fence}
+		u.leases[k] = lease{c.Fence, until, c.Fence}
 	}
-	u.logLocked(event{Kind: "grant", From: c.From, To: c.To, Fence: c.Fence, HoldS: c.HoldS})
+	u.logLocked(event{Kind: kind, From: c.From, To: c.To, Fence: c.Fence, HoldS: time.Until(until).Seconds()})
+	return http.StatusOK
 }
 
 func (u *upstream) worksOn(from, to int) bool {
