--- a/review/standins/copyofgrant.go
+++ b/review/standins/copyofgrant.go
@@ -44,7 +44,7 @@
 		}
 		time.Sleep(leavesAfter - copiesAfter)
 		f.note("upstream %s announces that it leaves", s.id)
-		fmt.Fprintln(s.in, "drain")
+		fmt.Fprintln(s.in, "draining")
 		time.Sleep(sickFor - leavesAfter)
 		fmt.Fprintln(s.in, 0)
 		f.noteDose(s.id, began, time.Now())
--- a/review/standins/faults.go
+++ b/review/standins/faults.go
@@ -40,8 +40,11 @@
 	return true
 }
 
-// obey carries out the orders of the case: a number sets how many faults are left, "drain"
-// announces that the upstream leaves.
+// silent is the state of an upstream that writes no entries any more.
+const silent = "silent"
+
+// obey carries out the orders of the case: a number sets how many faults are left, a word is
+// the state that the upstream tells from now on.
 func (u *upstream) obey(orders io.Reader) {
 	for lines := bufio.NewScanner(orders); lines.Scan(); {
 		if n, err := strconv.Atoi(lines.Text()); err == nil {
@@ -49,10 +52,12 @@
 			continue
 		}
 		u.mu.Lock()
-		u.state = "draining"
+		u.state = lines.Text()
 		u.mu.Unlock()
-		u.register()
-		u.log(event{Kind: "draining"})
+		if lines.Text() != silent {
+			u.register()
+		}
+		u.log(event{Kind: lines.Text()})
 	}
 }
 
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	poolService  = "desk"
 	vmCount      = 3
 	startTimeout = 20 * time.Second
+	longest      = 115 * time.Second
 	// deployMetricsPort is the port in the command of the deploy file.
 	deployMetricsPort = 9100
 )
@@ -52,7 +54,8 @@
 
 // server is the process of an upstream.
 type server struct {
-	id   string
+	id, address, zone string
+
 	args []string
 	cmd  *exec.Cmd
 	in   io.WriteCloser // takes orders; see upstream.obey
@@ -77,9 +80,23 @@
 	f.storeAt, f.server = l.Addr().String(), &http.Server{Handler: f.store}
 	go func() { _ = f.server.Serve(l) }()
 	f.note("deployment at %s.0, disruption: %t", f.prefix, f.trouble)
+	go f.endEarly()
 	return f, nil
 }
 
+// endEarly ends the case, and all processes that it started, at a signal or after longest.
+func (f *fleet) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(longest):
+	}
+	f.note("ended early")
+	f.close()
+	os.Exit(couldNot)
+}
+
 // note writes a line to the record.
 func (f *fleet) note(format string, args ...any) {
 	line := fmt.Sprintf("%8.3f  %s", time.Since(f.began).Seconds(), fmt.Sprintf(format, args...))
@@ -168,11 +185,11 @@
 	f.nextID++
 	n := f.nextID
 	id, ip := fmt.Sprintf("i-%06x", 0x5a1000+n*77), fmt.Sprintf("%s.%d", f.prefix, 110+n)
-	args := []string{"upstream", "-id", id, "-service", service, "-address", fmt.Sprintf("%s:%d", ip, freePort(ip, 8520)), "-zone", zone(n), "-store", f.storeAt, "-work", work.String()}
+	s := &server{id: id, address: fmt.Sprintf("%s:%d", ip, freePort(ip, 8520)), zone: zone(n)}
+	s.args = []string{"upstream", "-id", id, "-service", service, "-address", s.address, "-zone", s.zone, "-store", f.storeAt, "-work", work.String()}
 	if service == keyedService {
-		args = append(args, "-keyed")
+		s.args = append(s.args, "-keyed")
 	}
-	s := &server{id: id, args: args}
 	f.servers[id] = s
 	f.startUpstream(s)
 	return s
@@ -248,6 +265,9 @@
 		<-v.exited
 	}
 	for _, s := range f.servers {
+		if s.done == nil { // it did not start
+			continue
+		}
 		_ = s.cmd.Process.Signal(syscall.SIGCONT)
 		_ = s.cmd.Process.Signal(syscall.SIGKILL)
 		<-s.done
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 	"half-close":      halfClose,
 	"big-uploads":     bigUploads,
 	"copy-of-grant":   copyOfGrant,
+	"foreign-entry":   foreignEntry,
 }
 
 func main() {
--- a/review/standins/owner.go
+++ b/review/standins/owner.go
@@ -9,7 +9,7 @@
 const (
 	// restartPause is for how long a restarted upstream is down.
 	restartPause    = 300 * time.Millisecond
-	restarts        = 10
+	restarts        = 12
 	restartInterval = 5 * time.Second
 	// mostOverlap is for how long the rule OWNER lets two upstreams hold a key.
 	mostOverlap = 500 * time.Millisecond
--- a/review/standins/upstream.go
+++ b/review/standins/upstream.go
@@ -129,6 +129,10 @@
 // register writes the upstream's entry to the store.
 func (u *upstream) register() {
 	u.mu.Lock()
+	if u.state == silent {
+		u.mu.Unlock()
+		return
+	}
 	u.sequence++
 	entry, _ := json.Marshal(map[string]any{
 		"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": upstreamSlots, "state": u.state,
