--- a/review/standins/copyofgrant.go
+++ b/review/standins/copyofgrant.go
@@ -25,7 +25,7 @@
 func copyOfGrant(f *fleet) int {
 	f.configure(7, longTimeout)
 	var keyed []*server
-	for range 7 {
+	for range 8 {
 		keyed = append(keyed, f.addUpstream(keyedService, 60*time.Millisecond))
 	}
 	f.addUpstream(poolService, 60*time.Millisecond)
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	pid := os.Getpid()
-	f.prefix = fmt.Sprintf("127.%d.%d", 30+pid%200, pid/200%250)
+	f.prefix = fmt.Sprintf("127.%d.%d", 30+pid%70, pid/70%250)
 	l, err := net.Listen("tcp", f.prefix+".100:0")
 	if err != nil {
 		return nil, err
--- a/review/standins/owner.go
+++ b/review/standins/owner.go
@@ -21,7 +21,7 @@
 func restartSameID(f *fleet) int {
 	f.configure(7, 1.2)
 	var keyed []*server
-	for range 7 {
+	for range 8 {
 		keyed = append(keyed, f.addUpstream(keyedService, 60*time.Millisecond))
 	}
 	f.addUpstream(poolService, 60*time.Millisecond)
