A grant is not sent to a later life of its holder

Cause: a grant that is due is sent to the newest address of its target. Between the decision and the send a later life may register, at another address. It then holds keys under the name of its earlier life, whose hold ends at once when another target answers at the earlier address.

Change: a grant is dropped as not sent once a later life is registered. Releases go to the later life.

Evidence: TestGrantIsNotSentToLaterLifeElsewhere fails without the check and passes with it.

--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -272,11 +272,17 @@
 func (l *leadership) perform(ctx context.Context, a keyspace.Action) {
 	defer l.s.guard.RecoverThen(func() { l.finish(a, keyspace.NoAnswer, "", errors.New("the call ended with a panic")) },
 		"grant or release keys", "service", l.service, "target", a.Holder.Target)
-	address, ok := l.view.Address(a.Holder.Target)
+	address, life, ok := l.view.Address(a.Holder.Target)
 	if !ok {
 		l.finish(a, keyspace.NotSent, "", errors.New("the address of the target is unknown"))
 		return
 	}
+	if a.Kind == keyspace.Grant && life > a.Holder.Life {
+		// The address may be another one than that of the holder. What another target
+		// answers at the holder's address would not tell of keys that this grant gives.
+		l.finish(a, keyspace.NotSent, "", errors.New("a later life of the target is registered"))
+		return
+	}
 	call := KeyCall{Target: a.Holder.Target, Address: address, From: a.From, To: a.To, Fence: a.Fence, Hold: a.Hold, Handover: a.Handover}
 	timeout := callTimeout
 	if a.Kind == keyspace.Release {
--- a/node/cell/renewals_test.go
+++ b/node/cell/renewals_test.go
@@ -133,3 +133,18 @@
 		return caller.grants["t-1"] > before
 	}, 2*time.Second, time.Millisecond, "nobody else steps the keys in this test")
 }
+
+// Guards against a grant that reaches a later life of its holder at another address,
+// where no answer of another target at the holder's address can end it: two targets
+// held the keys.
+func TestGrantIsNotSentToLaterLifeElsewhere(t *testing.T) {
+	l, caller, _ := newKeyLeadership(t, 2)
+	due := l.dueCalls()
+	require.Len(t, due, 2)
+	l.view.Apply(view.Targets, []view.Change{{Log: view.Targets, Key: "t-0", Offset: 3, Target: &fleet.Target{ID: "t-0", Life: 1, Service: "other", Address: "127.0.0.1:2", Slots: 3}}}, 4, l.now())
+	for _, a := range due {
+		l.perform(context.Background(), a)
+	}
+	assert.Equal(t, map[string]int{"t-1": 1}, caller.grants)
+	assert.Empty(t, l.dueCalls(), "keys of an earlier life are not granted again")
+}
--- a/node/view/read.go
+++ b/node/view/read.go
@@ -129,16 +129,16 @@
 // VMKey returns the key of a VM's record.
 func VMKey(id string) string { return "vm/" + id }
 
-// Address returns the address of a target that is registered, or was so until at most
-// about tombstoneTTL ago.
-func (v *View) Address(target string) (string, bool) {
+// Address returns the address and the life of a target that is registered, or was so
+// until at most about tombstoneTTL ago.
+func (v *View) Address(target string) (address string, life int64, ok bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	if e := v.entries[Targets][target]; e != nil && e.Target != nil {
-		return e.Target.Address, true
+		return e.Target.Address, e.Target.Life, true
 	}
 	if e := v.goneTargets[target]; e != nil {
-		return e.Target.Address, true
+		return e.Target.Address, e.Target.Life, true
 	}
-	return "", false
+	return "", 0, false
 }
--- a/node/view/view_test.go
+++ b/node/view/view_test.go
@@ -119,12 +119,12 @@
 	now := time.Second
 	v := newTestView(&now)
 	v.Apply(Targets, []Change{target(0, "a", false), {Log: Targets, Key: "a", Offset: 1}}, 2, 0)
-	address, known := v.Address("a")
+	address, _, known := v.Address("a")
 	assert.True(t, known, "a removed target may still hold keys")
 	assert.Equal(t, "a:1", address)
 	now += tombstoneTTL + pruneInterval
 	v.Apply(Targets, nil, 3, 0)
-	_, known = v.Address("a")
+	_, _, known = v.Address("a")
 	assert.False(t, known)
 	assert.Empty(t, v.entries[Targets])
 }
