Answers without end take limited memory on the plain log service

Reported by other operators: a target sent bytes without end, the machine that had called it kept them and ran out of memory, and the requests of other clients ended with it.

Cause: node/targets limited each body to 16 MiB but not all bodies together, and left heads to net/http's limit of 10 MiB each.

Change: heads end at 64 KiB, and the bodies that are read at one time share the budget that node/upstream has; both packages use the same code for it.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -120,7 +120,7 @@
 	content, err := json.Marshal(map[string]any{
 		"nodeName": v.name, "ip": v.ip, "zone": f.zone(i), "internalPorts": []int{7200, 7215},
 		"listen":   map[string]string{"front": v.ip + ":8081", "readinessAddress": v.ip + ":8088"},
-		"limits":   map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": 256},
+		"limits":   map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memoryMB},
 		"bounds":   []string{fmt.Sprintf("graceS=%g", shutdownGrace.Seconds()), "retryBudgetRatio=0.2", "budgetBurst=56"},
 		"platform": map[string]any{"address": f.storeProxy.Addr()},
 	})
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -44,8 +44,9 @@
 	// maxIdleTime is how long an idle connection may be reused. After a longer
 	// time, a device on the network path may have forgotten the connection.
 	maxIdleTime = 2 * time.Second
-	// MaxAnswerBytes is the largest answer body that is passed on, in bytes.
-	MaxAnswerBytes = 16 << 20
+	// bodyMemory is how many bytes the bodies of large answers that are being read may
+	// use together.
+	bodyMemory = upstream.DefaultAnswerMemory
 )
 
 // Request is one attempt to run a request at a target.
@@ -108,6 +109,7 @@
 	truncated  metrics.Counter
 	requests   *wire.Counters
 	control    *wire.Counters // grants, load queries and cancellations
+	bodies     upstream.BodyMemory
 	// LocalAddr is the source address of connections; nil lets the system
 	// choose. It must be set before the first request.
 	LocalAddr *net.TCPAddr
@@ -159,6 +161,8 @@
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     maxIdleTime,
 			DisableCompression:  true, // the answer is passed on unchanged
+
+			MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 		}
 		if c.tls != nil {
 			t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -324,14 +328,12 @@
 		// Closing a body that was not read to its end closes the connection.
 		return nil, fail(errors.Errorf("answer is for request %q, not %q, or made of two answers", got, r.ID))
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	body, reserved, err := c.bodies.ReadBody(resp, bodyMemory)
 	if err != nil {
 		c.truncated.Inc(1)
 		return nil, fail(errors.Wrap(causeOf(ctx, err), "read body"))
 	}
-	if len(body) > MaxAnswerBytes {
-		return nil, fail(errors.Errorf("answer body is larger than %d bytes", MaxAnswerBytes))
-	}
+	c.bodies.Release(reserved)
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		a.NotRun = resp.Header.Get(HeaderNotRun)
--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -16,8 +16,8 @@
 	MaxAnswerBytes = 16 << 20
 	// DefaultAnswerMemory is the default of Client.AnswerMemory, in bytes.
 	DefaultAnswerMemory = 24 << 20
-	// maxHeadBytes is the largest status line and header of an answer, in bytes.
-	maxHeadBytes = 64 << 10
+	// MaxHeadBytes is the largest status line and header of an answer, in bytes.
+	MaxHeadBytes = 64 << 10
 	// maxInformational is how many informational (1xx) answers may precede an answer.
 	maxInformational = 8
 	// maxMismatchedAnswers is how many answers to other requests are skipped
@@ -33,7 +33,7 @@
 )
 
 var (
-	errHeadTooLarge      = errors.Errorf("the status line and header of the answer exceed %d bytes", maxHeadBytes)
+	errHeadTooLarge      = errors.Errorf("the status line and header of the answer exceed %d bytes", MaxHeadBytes)
 	errBodyTooLarge      = errors.Errorf("the body of the answer exceeds %d bytes", MaxAnswerBytes)
 	errAnswerMemory      = errors.New("no memory is left for an answer of this size beside those in progress")
 	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
@@ -66,7 +66,7 @@
 // readHead reads the status line and header of the next answer on the connection. It
 // fails if they contain the status line of another answer.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.raw.left = maxHeadBytes
+	c.raw.left = MaxHeadBytes
 	defer func() { c.raw.left = -1 }()
 	resp, err := http.ReadResponse(c.reader, req)
 	if err == nil && ContainsStatusLine(resp) {
@@ -98,12 +98,12 @@
 	return false
 }
 
-// answerMemory counts the memory that the bodies of answers use beyond
-// freeAnswerBytes each.
-type answerMemory struct{ used atomic.Int64 }
+// BodyMemory counts the memory that the bodies of answers use beyond freeAnswerBytes
+// each. The zero value counts none yet. It is safe for concurrent use.
+type BodyMemory struct{ used atomic.Int64 }
 
 // reserve adds n bytes unless that would exceed limit, and reports whether it did.
-func (m *answerMemory) reserve(n, limit int64) bool {
+func (m *BodyMemory) reserve(n, limit int64) bool {
 	if n == 0 || m.used.Add(n) <= limit {
 		return true
 	}
@@ -111,14 +111,16 @@
 	return false
 }
 
-func (m *answerMemory) release(n int64) { m.used.Add(-n) }
+// Release ends the use of n bytes that ReadBody has reserved.
+func (m *BodyMemory) Release(n int64) { m.used.Add(-n) }
 
-// reservationFor returns how much a buffer of a size counts towards AnswerMemory.
+// reservationFor returns how much a buffer of a size counts towards a BodyMemory.
 func reservationFor(size int64) int64 { return max(0, size-freeAnswerBytes) }
 
-// readBody reads the whole body of an answer. reserved is what it counts towards
-// AnswerMemory until it is released.
-func (c *Client) readBody(resp *http.Response) (body []byte, reserved int64, err error) {
+// ReadBody reads the whole body of an answer of at most MaxAnswerBytes. It fails if the
+// bodies that count would use more than limit bytes together. reserved is what the body
+// counts until it is passed to Release.
+func (m *BodyMemory) ReadBody(resp *http.Response, limit int64) (body []byte, reserved int64, err error) {
 	size := min(resp.ContentLength, MaxAnswerBytes+1)
 	switch {
 	case size > MaxAnswerBytes:
@@ -130,13 +132,13 @@
 	}
 	for n := 0; ; {
 		grown := reservationFor(size)
-		if !c.memory.reserve(grown, c.AnswerMemory) { // while both buffers exist, both count
-			c.memory.release(reserved)
+		if !m.reserve(grown, limit) { // while both buffers exist, both count
+			m.Release(reserved)
 			return nil, 0, errAnswerMemory
 		}
 		buffer := make([]byte, size)
 		copy(buffer, body[:n])
-		c.memory.release(reserved)
+		m.Release(reserved)
 		body, reserved = buffer, grown
 		read, err := fill(resp.Body, body[n:])
 		n += read
@@ -144,10 +146,10 @@
 		case err == io.EOF || err == nil && resp.ContentLength >= 0:
 			return body[:n], reserved, nil
 		case err != nil:
-			c.memory.release(reserved)
+			m.Release(reserved)
 			return nil, 0, err
 		case n > MaxAnswerBytes:
-			c.memory.release(reserved)
+			m.Release(reserved)
 			return nil, 0, errBodyTooLarge
 		}
 		size = min(2*size, MaxAnswerBytes+1)
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -79,13 +79,13 @@
 
 	endsWithConn bool  // the body ends with the connection
 	reserved     int64 // memory that the body counts for
-	memory       *answerMemory
+	memory       *BodyMemory
 }
 
 // Release ends the use of the body, which no longer counts towards
 // Client.AnswerMemory. Further calls have no effect.
 func (a *Answer) Release() {
-	a.memory.release(a.reserved)
+	a.memory.Release(a.reserved)
 	a.reserved = 0
 }
 
@@ -111,7 +111,7 @@
 	// together. It must be set before the first request.
 	AnswerMemory int64
 
-	memory     answerMemory
+	memory     BodyMemory
 	dialer     net.Dialer
 	opened     metrics.Counter
 	mismatched metrics.Counter
@@ -368,7 +368,7 @@
 				return nil, errors.Wrap(err, "receive an answer to another request")
 			}
 		default:
-			body, reserved, err := c.readBody(resp)
+			body, reserved, err := c.memory.ReadBody(resp, c.AnswerMemory)
 			if err != nil {
 				return nil, errors.Wrap(err, "receive body")
 			}
