--- a/cmd/soak/sick_test.go
+++ b/cmd/soak/sick_test.go
@@ -112,3 +112,49 @@
 		t.Error(p)
 	}
 }
+
+// oddEntries are entries of targets that some other program has written. Nobody listens
+// at their addresses.
+var oddEntries = []string{
+	strings.Repeat(`{"service":`, 20000), strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
+	`{"version":` + strings.Repeat(`{"a":`, 9000) + "1" + strings.Repeat("}", 9000) + `,"service":"desk","address":"127.0.0.1:9","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"z-a","slots":1e400,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"z-a","slots":9223372036854775807,"state":"ready","born":9223372036854775807}`,
+	`{"service":"board","address":"127.0.0.1:9","zone":"z-a","slots":9223372036854775807,"state":"ready","warmupLeftS":1e308}`,
+	`{"service":"board","address":"127.0.0.1:9","zone":"z-a","slots":3,"state":"ready","warmupLeftS":-1e308,"born":-9223372036854775808}`,
+	`{"service":"desk","address":"127.0.0.1:65536","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"board","address":"127.0.0.1:99999999999999999999","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"board","address":"127.0.0.1:-1","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"desk","address":"::::","zone":"","slots":3,"state":"ready"}`,
+	`{"service":"` + strings.Repeat("s", 200<<10) + `","address":"127.0.0.1:9","zone":"z-a","slots":3,"state":"ready"}`,
+	`[]`, `null`, `0`, `""`, "\xff\xfe\x00", "{", `{"service":null}`,
+}
+
+// Guards against VMs that end, or stop following the list of targets, because of an
+// entry that another program has written.
+func TestOddEntriesOfTargetsStopNoVM(t *testing.T) {
+	f := startReadyFleet(t, buildProgram(t), 44, 3)
+	load, stop := startLoad(f, 44)
+	load.begin()
+	for n, entry := range oddEntries {
+		for _, key := range []string{"", fmt.Sprintf("odd-%d", n), fmt.Sprintf("\xff%c odd-%d", n, n)} {
+			f.store.PutBytes("keyed.servers", key, []byte(entry))
+		}
+		time.Sleep(sickFor / time.Duration(len(oddEntries)))
+	}
+	f.store.Compact("keyed.servers") // a process that starts reads the newest entries
+	f.stopInSeries(2, 1)
+	f.drainOneOfEach()
+	served, total := load.end()
+	stop()
+	assert.GreaterOrEqual(t, served*10, total*9, "%d of %d requests were served", served, total)
+	f.checkNewestConfig()
+	for n, v := range f.vms {
+		assert.Equal(t, 1+n/2, v.starts(t), v.name)
+		v.peakMemoryMB(t)
+	}
+	for _, p := range f.checker.violations {
+		t.Error(p)
+	}
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -94,6 +94,11 @@
 	if value != nil {
 		content, _ = json.Marshal(value) // values come from tests and always encode
 	}
+	s.PutBytes(name, key, content)
+}
+
+// PutBytes is Put with a value that need not be JSON, as another program would write it.
+func (s *Server) PutBytes(name, key string, content []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.openTopic(name).written[key] = content
