--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -63,9 +64,10 @@
 }
 
 // targetInstance is one run of a target, with its proxy. A target that is started
-// again is a new instance with a new id.
+// again is a new instance, with a new id unless restartInPlace starts it.
 type targetInstance struct {
 	*holder.Target
+	process   *atomic.Pointer[holder.Target] // what server passes its requests to
 	service   string
 	startedMS int64
 	proxy     *faultproxy.Proxy
@@ -239,7 +241,9 @@
 		Target:  holder.New(id, targetSlots, targetServiceTime, service == keyedService, f.checker),
 		service: service, startedMS: time.Now().UnixMilli(), state: "ready",
 	}
-	m.server = httptest.NewUnstartedServer(m.Target)
+	m.process = &atomic.Pointer[holder.Target]{}
+	m.process.Store(m.Target)
+	m.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { m.process.Load().ServeHTTP(w, r) }))
 	m.server.Config.ErrorLog = nil
 	m.server.Start()
 	var err error
@@ -325,6 +329,25 @@
 	f.store.Put("keyed.servers", m.ID, nil)
 }
 
+// restartInPlace crashes a target and starts it again under its id and at its address.
+func (f *fleet) restartInPlace(m *targetInstance, down time.Duration) {
+	m.mu.Lock()
+	m.silent = true
+	m.mu.Unlock()
+	m.Crash()
+	m.server.CloseClientConnections()
+	time.Sleep(down)
+	next := &targetInstance{
+		Target: holder.New(m.ID, targetSlots, targetServiceTime, m.service == keyedService, f.checker), process: m.process,
+		service: m.service, startedMS: time.Now().UnixMilli(), proxy: m.proxy, server: m.server, state: "ready",
+	}
+	f.mu.Lock()
+	f.targets[m.ID] = next
+	f.mu.Unlock()
+	m.process.Store(next.Target)
+	f.publishEntry(next)
+}
+
 // ready reports whether a VM is ready for callers.
 func (v *vm) ready() bool {
 	c := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -40,11 +40,11 @@
 	callTimeout   = 2 * time.Second
 )
 
-// seeds returns the seeds of MANGOGATE_SOAK_SEEDS, or ciSeeds.
-func seeds(t *testing.T) []int64 {
+// seeds returns the seeds of MANGOGATE_SOAK_SEEDS, or those given if it is not set.
+func seeds(t *testing.T, inCI []int64) []int64 {
 	text := os.Getenv("MANGOGATE_SOAK_SEEDS")
 	if text == "" {
-		return ciSeeds
+		return inCI
 	}
 	var out []int64
 	for _, s := range strings.Split(text, ",") {
@@ -72,7 +72,7 @@
 // 90 % of the requests must be served again recoveryLimit after the last fault.
 func TestSoak(t *testing.T) {
 	binary := buildProgram(t)
-	for _, seed := range seeds(t) {
+	for _, seed := range seeds(t, ciSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soakOnce(t, binary, seed) })
 	}
 }
@@ -250,6 +250,7 @@
 type faultInjector struct {
 	f           *fleet
 	rng         *rand.Rand
+	kinds       []int // of faults that are injected, all if nil
 	wg          sync.WaitGroup
 	mu          sync.Mutex
 	injected    []string
@@ -307,11 +308,18 @@
 	return all[fi.rng.Intn(len(all))]
 }
 
+// faultKinds is the number of kinds of faults that injectRandom draws from.
+const faultKinds = 16
+
 // injectRandom injects a random fault. It draws all random numbers before the fault
 // runs.
 func (fi *faultInjector) injectRandom() {
 	v, m, duration := fi.randomVM(), fi.randomTarget(), time.Duration(300+fi.rng.Intn(3500))*time.Millisecond
-	switch fi.rng.Intn(16) {
+	kind := fi.rng.Intn(faultKinds)
+	if fi.kinds != nil {
+		kind = fi.kinds[kind%len(fi.kinds)]
+	}
+	switch kind {
 	case 0:
 		fi.inject("kill "+v.name, func() { v.shutdown(syscall.SIGKILL); time.Sleep(duration); fi.f.start(v) })
 	case 1:
