--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -278,8 +278,8 @@
 		return
 	}
 	if a.Kind == keyspace.Grant && life > a.Holder.Life {
-		// The address may be another one than that of the holder. What another target
-		// answers at the holder's address would not tell of keys that this grant gives.
+		// Grants go only to the address with which their holder registered: another target
+		// that answers there then proves that nobody holds keys by them.
 		l.finish(a, keyspace.NotSent, "", errors.New("a later life of the target is registered"))
 		return
 	}
