--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -39,7 +39,7 @@
 }
 
 // dropExpiredPrior removes the prior holders that can no longer hold the range:
-// another process has their address, their hold has expired, or they have released
+// another target has their address, their hold has expired, or they have released
 // the range and no unanswered grant can still take effect. A holder to whose target a
 // call for keys of the range is in flight is kept.
 //
