A leader replaces only the record that it decided on

Cause: a suspended leader woke up, learned of its successor's record and took it for one of its own that overstates the grants of earlier leaders; it wrote its own assignments over it. write let any record be replaced that was the newest when it began, whatever the decision was based on.

Change: a write names the record that it replaces and fails if another one is the newest. A leader writes only its own record again. The lease is checked before the record that it must belong to, so that the lease of a later record never counts for the one before.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -29,20 +29,27 @@
 const appendRetryDelay = 100 * time.Millisecond
 
 // write appends a record of a cell to the system's log, on condition that the log has
-// not grown since this VM last read it, and returns the record's number. Only the log
-// shows the outcome of an append that the store did not acknowledge, so write reads it
-// and retries until the outcome is known or ctx ends. It returns errCellChanged if
-// another record of the cell was written instead, and errStoreRestored if the store was
-// restored meanwhile.
-func (s *Service) write(ctx context.Context, c *fleet.Cell) (int64, error) {
-	previous, _ := s.view.Cell(c.Service)
+// not grown since this VM last read it and that previous is still the newest record of
+// the cell, and returns the record's number. Only the log shows the outcome of an append
+// that the store did not acknowledge, so write reads it and retries until the outcome is
+// known or ctx ends. It returns errCellChanged if the cell has another record, and
+// errStoreRestored if the store was restored meanwhile.
+func (s *Service) write(ctx context.Context, c, previous *fleet.Cell) (int64, error) {
 	c.Change, c.Era = rand.Uint64(), view.Era(s.view.End(view.System))
 	change := view.Change{Log: view.System, Key: view.CellKey(c.Service), Cell: c}
 	for {
+		// The end is read before the record: a record of another leader that lies before the
+		// end is then seen, and one behind it makes the append fail.
 		end := s.view.End(view.System)
 		if view.Era(end) != c.Era {
 			return 0, errStoreRestored
 		}
+		switch current, number := s.view.Cell(c.Service); {
+		case current != nil && sameRecord(current, c):
+			return number, nil
+		case !sameRecord(current, previous):
+			return 0, errCellChanged
+		}
 		began := s.clock.Now()
 		offset, err := s.store.Append(ctx, change, end)
 		if err == nil {
@@ -60,21 +67,18 @@
 		if err := s.readSystem(ctx); err != nil {
 			s.logger.Info("could not read the system's log to find the outcome of an append", "error", err)
 			time.Sleep(appendRetryDelay)
-			continue
-		}
-		if view.Era(s.view.End(view.System)) != c.Era {
-			return 0, errStoreRestored
-		}
-		current, number := s.view.Cell(c.Service)
-		switch {
-		case current != nil && current.Change == c.Change && current.Boot == c.Boot:
-			return number, nil
-		case current != previous:
-			return 0, errCellChanged
 		}
 	}
 }
 
+// sameRecord reports whether two records of a cell, either of which may be nil, are one.
+func sameRecord(a, b *fleet.Cell) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Change == b.Change && a.Boot == b.Boot
+}
+
 // readSystem reads the system's log to its end and applies it to the view.
 func (s *Service) readSystem(ctx context.Context) error {
 	for {
@@ -150,7 +154,7 @@
 		record.Hold = holdFor(cfg, svc.Name)
 		record.Keys = keyspace.New(keyConfig(record.Hold), resolveFences(current, currentNumber), 0).TakeOver()
 	}
-	number, err := s.write(ctx, record)
+	number, err := s.write(ctx, record, current)
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -174,7 +174,7 @@
 		l.mu.Lock()
 		again := l.newRecord(c.Keys)
 		l.mu.Unlock()
-		number, err := l.s.write(ctx, again)
+		number, err := l.s.write(ctx, again, c)
 		if err == nil {
 			l.s.resume(l, number)
 			return
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -157,11 +157,11 @@
 	pause = keyStepInterval
 	defer l.s.guard.Recover("lend slots and manage the keys of a cell", "service", l.service)
 	pause = l.tick()
-	if l.mustWriteAgain() && l.writingAgain.CompareAndSwap(false, true) {
+	if record := l.recordToWriteAgain(); record != nil && l.writingAgain.CompareAndSwap(false, true) {
 		go func() {
 			defer l.s.guard.Recover("write the record of a cell again", "service", l.service)
 			defer l.writingAgain.Store(false)
-			if err := l.writeAgain(ctx); err != nil {
+			if err := l.writeAgain(ctx, record); err != nil {
 				l.logger.Info("could not write the record of the cell again", "service", l.service, "error", err)
 				time.Sleep(appendRetryDelay)
 			}
@@ -225,7 +225,9 @@
 // newest known record, has started no handover, and either the store has confirmed its
 // leadership within leaderLease or enough VMs support it.
 func (l *leadership) mayGrant() error {
-	if l.isCurrent() && !l.handoverStarted.Load() && l.holdsLease() {
+	// The lease is checked first: it counts for whichever record is the newest then, which
+	// is the one of this leadership if it still is afterwards.
+	if l.holdsLease() && l.isCurrent() && !l.handoverStarted.Load() {
 		return nil
 	}
 	return errMayNotGrant
@@ -235,14 +237,21 @@
 // leaderLease or enough VMs support its leader.
 func (l *leadership) holdsLease() bool { return l.confirmed() || l.supported() }
 
-// isCurrent reports whether the newest known record of the cell names this process or,
-// if this VM is a deputy, is still the record of the leader that it stands in for.
-func (l *leadership) isCurrent() bool {
+// isCurrent reports whether the newest known record of the cell is one of this leadership.
+func (l *leadership) isCurrent() bool { return l.currentRecord() != nil }
+
+// currentRecord returns the newest known record of the cell if it names this process or,
+// if this VM is a deputy, is still the record of the leader that it stands in for, and
+// nil otherwise. Whatever is decided on the record holds only as long as it is the newest.
+func (l *leadership) currentRecord() *fleet.Cell {
 	c, _ := l.view.Cell(l.service)
-	if l.deputyFor != nil {
-		return c == l.deputyFor
+	switch {
+	case l.deputyFor != nil && c == l.deputyFor:
+		return c
+	case l.deputyFor == nil && c != nil && c.Leader == l.s.self.ID && c.Boot == l.s.self.Boot:
+		return c
 	}
-	return c != nil && c.Leader == l.s.self.ID && c.Boot == l.s.self.Boot
+	return nil
 }
 
 // confirmed reports whether the store has confirmed the newest record of the cell within
@@ -327,7 +336,8 @@
 // store has confirmed the leadership recently. A deputy instead tries to become the
 // leader.
 func (l *leadership) plan(ctx context.Context) {
-	if l.handoverStarted.Load() || !l.isCurrent() {
+	record := l.currentRecord()
+	if l.handoverStarted.Load() || record == nil {
 		return
 	}
 	if l.deputyFor != nil {
@@ -341,7 +351,7 @@
 		return
 	}
 	if assignments, change := l.propose(); change {
-		go l.commit(ctx, assignments)
+		go l.commit(ctx, record, assignments)
 	}
 }
 
@@ -375,16 +385,23 @@
 	return out
 }
 
-// mustWriteAgain reports whether the record of the cell has to be written again: the store
-// was restored since, or it tells of earlier grants that have expired.
-func (l *leadership) mustWriteAgain() bool {
-	return l.deputyFor == nil && !l.handoverStarted.Load() && (l.view.IsCellRestored(l.service) || l.overstatesEarlierGrants())
+// recordToWriteAgain returns the record of this leader if it has to be written again: the
+// store was restored since, or it tells of earlier grants that have expired.
+func (l *leadership) recordToWriteAgain() *fleet.Cell {
+	if l.deputyFor != nil || l.handoverStarted.Load() {
+		return nil
+	}
+	c := l.currentRecord()
+	if c != nil && (l.view.IsCellRestored(l.service) || l.overstatesEarlierGrants(c)) {
+		return c
+	}
+	return nil
 }
 
-// writeAgain writes the present key assignments as a record of the store's present era, so
-// that the store holds them and confirms this leader. It needs an unbroken lease:
-// otherwise another VM may have led the cell, and its records may be lost.
-func (l *leadership) writeAgain(ctx context.Context) error {
+// writeAgain replaces the given record by one with the present key assignments and of the
+// store's present era, so that the store holds them and confirms this leader. It needs an
+// unbroken lease: otherwise another VM may have led the cell, and its records may be lost.
+func (l *leadership) writeAgain(ctx context.Context, previous *fleet.Cell) error {
 	if l.keys != nil && !l.holdsLease() {
 		return errors.New("the lease of this leader has ended")
 	}
@@ -400,7 +417,7 @@
 	if err != nil {
 		return err
 	}
-	number, err := l.s.write(ctx, record)
+	number, err := l.s.write(ctx, record, previous)
 	if err != nil {
 		return err
 	}
@@ -444,20 +461,20 @@
 	return EarlierGrants{Left: max(0, l.keys.PriorManagerHoldBound()-now), UnknownHolders: l.keys.WaitsForUnknown(now)}
 }
 
-// overstatesEarlierGrants reports whether the record of the cell tells that grants of
+// overstatesEarlierGrants reports whether a record of this leader tells that grants of
 // earlier leaders may hold although none can any more.
-func (l *leadership) overstatesEarlierGrants() bool {
-	c, _ := l.view.Cell(l.service)
-	return l.keys != nil && c != nil && c.EarlierGrants > 0 && l.confirmed() && l.previousGrantsLeft() <= 0
+func (l *leadership) overstatesEarlierGrants(c *fleet.Cell) bool {
+	return l.keys != nil && c.EarlierGrants > 0 && l.confirmed() && l.previousGrantsLeft() <= 0
 }
 
-// commit writes proposed assignments to the store, after which they take effect.
-func (l *leadership) commit(ctx context.Context, assignments []keyspace.Assignment) {
+// commit writes proposed assignments to the store, after which they take effect. previous
+// is the record that they were proposed on.
+func (l *leadership) commit(ctx context.Context, previous *fleet.Cell, assignments []keyspace.Assignment) {
 	began := l.now()
 	l.mu.Lock()
 	record := l.newRecord(assignments)
 	l.mu.Unlock()
-	number, err := l.s.write(ctx, record)
+	number, err := l.s.write(ctx, record, previous)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if errors.Is(err, errStoreRestored) {
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -298,3 +298,50 @@
 	l.writingAgain.Store(false)
 	requireHeld(t, leader, "u")
 }
+
+// recordOfOther returns a record by which another VM has taken the cell over.
+func recordOfOther(own *fleet.Cell, other fleet.VM) *fleet.Cell {
+	return &fleet.Cell{Service: own.Service, Leader: other.ID, Boot: other.Boot, Change: own.Change + 1, Era: own.Era, Hold: own.Hold, Keys: own.Keys, EarlierGrants: time.Second}
+}
+
+// Guards against two owners of a key after a leader was suspended: when it woke up it took
+// the record of its successor, which told of earlier grants, for its own and replaced it.
+func TestDeposedLeaderDoesNotReplaceTheRecordOfItsSuccessor(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	l := leader.leadershipOf("s")
+	require.Eventually(t, func() bool {
+		c, _ := leader.view.Cell("s")
+		return c.EarlierGrants == 0 && l.previousGrantsLeft() <= 0
+	}, 5*time.Second, 5*time.Millisecond)
+	own, _ := leader.view.Cell("s")
+	leader.reconcileMu.Lock() // the leadership is not stopped yet
+	defer leader.reconcileMu.Unlock()
+	theirs := recordOfOther(own, others[0].self)
+	_, err := store.Append(context.Background(), view.Change{Key: view.CellKey("s"), Cell: theirs}, view.AnyOffset)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !l.isCurrent() }, time.Second, time.Millisecond)
+	for end := time.Now().Add(10 * keyStepInterval); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c, _ := leader.view.Cell("s")
+		require.Equal(t, others[0].self.ID, c.Leader)
+	}
+}
+
+// Guards against two owners of a key when a leader learns of its successor after it has
+// proposed assignments: they must not be written behind the successor's record.
+func TestProposalOfDeposedLeaderIsNotWritten(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	l := leader.leadershipOf("s")
+	own, _ := leader.view.Cell("s")
+	leader.reconcileMu.Lock() // the leadership is not stopped yet
+	defer leader.reconcileMu.Unlock()
+	_, err := store.Append(context.Background(), view.Change{Key: view.CellKey("s"), Cell: recordOfOther(own, others[0].self)}, view.AnyOffset)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !l.isCurrent() }, time.Second, time.Millisecond)
+	records := store.cellRecords()
+	l.commit(t.Context(), own, own.Keys)
+	assert.Equal(t, records, store.cellRecords())
+}
