Soak: requests beside restarts of targets have paths of their own

Change: each request of TestRestartsUnderOneIDLeaveOneOwner has its own path, so that the bound of served requests tells of keys; the bound stays.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -51,6 +51,9 @@
 	storeProxy *faultproxy.Proxy
 	checker    *checker
 	vms        []*vm
+	// distinctPaths gives each request a path of its own. Requests that are alike are
+	// suspected, and refused, if they are in flight when several targets crash.
+	distinctPaths bool
 
 	mu      sync.Mutex
 	targets map[string]*targetInstance
--- a/cmd/soak/restart_test.go
+++ b/cmd/soak/restart_test.go
@@ -25,6 +25,7 @@
 
 func restartTargetsOnce(t *testing.T, binary string, seed int64) {
 	f := startReadyFleet(t, binary, seed, intFromEnv(t, "MANGOGATE_SOAK_VMS", 5))
+	f.distinctPaths = true
 	rng := rand.New(rand.NewSource(seed))
 	fi := &faultInjector{f: f, rng: rand.New(rand.NewSource(seed + 1)), kinds: faultsBesideRestarts}
 	f.checker.drainBoundLifted = fi.drainBoundLifted
