Incident: keys granted beside a deputy, shown by two failing tests

Cause: the users reported two holders of keys. Reading the related paths found two more ways: a claim that does not know of a deputy, and a deputy's claim beside a second deputy.

--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/support"
+	"github.com/mangogate/mangogate/node/view"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -64,3 +69,147 @@
 	}
 	require.Eventually(t, func() bool { return l.mayGrant() != nil }, leaderLease+2*time.Second, 10*time.Millisecond)
 }
+
+// lossyCaller records the grants that targets accept. Calls to the target named lost are
+// not carried out and get no answer.
+type lossyCaller struct {
+	recordingCaller
+	lost string
+}
+
+func (c *lossyCaller) Grant(ctx context.Context, call KeyCall, beforeSend func() error) (keyspace.CallResult, error) {
+	if call.Target == c.lost {
+		return keyspace.NoAnswer, context.DeadlineExceeded
+	}
+	return c.recordingCaller.Grant(ctx, call, beforeSend)
+}
+
+func (c *lossyCaller) Release(ctx context.Context, call KeyCall) (string, keyspace.CallResult, error) {
+	if call.Target == c.lost {
+		return "", keyspace.NoAnswer, context.DeadlineExceeded
+	}
+	return c.recordingCaller.Release(ctx, call)
+}
+
+// startVMsWithStores starts n VMs with a cuttable store and a recording caller each, and
+// returns the leader and the others once the target t holds the keys.
+func startVMsWithStores(t *testing.T, store *memoryStore, n int) (leader *testVM, others []*testVM, stores map[*testVM]*cuttableStore, calls map[*testVM]*lossyCaller) {
+	stores, calls = map[*testVM]*cuttableStore{}, map[*testVM]*lossyCaller{}
+	var vms []*testVM
+	for i := range n {
+		s := &cuttableStore{memoryStore: store}
+		vm := startVM(t, fmt.Sprintf("vm-%d", i), s)
+		calls[vm] = &lossyCaller{}
+		vm.keyCaller = calls[vm]
+		stores[vm] = s
+		vms = append(vms, vm)
+	}
+	require.Eventually(t, func() bool { return len(leaders(vms)) == 1 }, 8*time.Second, 20*time.Millisecond)
+	leader = leaders(vms)[0]
+	requireHeld(t, leader, "t")
+	for _, vm := range vms {
+		require.Eventually(t, func() bool { return len(vm.view.VMs()) == n }, 3*time.Second, 5*time.Millisecond)
+		if vm != leader {
+			others = append(others, vm)
+		}
+	}
+	return leader, others, stores, calls
+}
+
+// cutCalls makes a VM unable to call the others.
+func cutCalls(vm *testVM, others []*testVM) {
+	var changes []view.Change
+	end := vm.view.End(view.System)
+	for _, other := range others {
+		if other == vm {
+			continue
+		}
+		unreachable := other.self
+		unreachable.PeerAddress = "127.0.0.1:1"
+		changes = append(changes, view.Change{Log: view.System, Key: view.VMKey(other.self.ID), VM: &unreachable, Offset: end - 1})
+	}
+	vm.view.Apply(view.System, changes, end, vm.clock.Now()-leaderLease)
+}
+
+// assertNoGrantsBeside waits until a VM grants keys to the target u, at most for the given
+// time, and checks that the deputy grants nothing to the target t from then on. If there is no
+// such grant, the deputy has to renew its own.
+func assertNoGrantsBeside(t *testing.T, deputy, next *lossyCaller, within time.Duration) {
+	began := time.Now()
+	for ; time.Since(began) < within; time.Sleep(5 * time.Millisecond) {
+		if slices.ContainsFunc(next.taken(), func(c KeyCall) bool { return c.Target == "u" }) {
+			deputy.taken()
+			time.Sleep(3 * renewInterval)
+			assert.Empty(t, deputy.taken(), "the deputy renews grants to t %s after the start, beside the grants to u", time.Since(began))
+			return
+		}
+	}
+	deputy.taken()
+	time.Sleep(2 * renewInterval)
+	assert.NotEmpty(t, deputy.taken(), "the deputy does not renew the grants")
+}
+
+// grantsToOtherTarget is longer than a claimant waits that counts on the end of all grants
+// by the leader's record within leaderLease.
+const grantsToOtherTarget = leaderLease + fleet.ShortestHold + 3*time.Second
+
+// Guards against two holders of a key beside a deputy: a VM that had not heard of the
+// deputy took the end of the leader's process for the end of all grants by its record.
+func TestClaimWaitsForGrantsOfUnknownDeputy(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others, stores, calls := startVMsWithStores(t, store, 3)
+	time.Sleep(time.Second)
+	for _, s := range stores {
+		s.cut()
+	}
+	time.Sleep(syncInterval)
+	leader.Retire(context.Background())
+	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 2*time.Second, 5*time.Millisecond)
+	leader.stop()
+	deputy := leaders(others)[0]
+	// A new process of the leader's VM is registered. The claimant reaches neither it nor the
+	// VMs that support the deputy.
+	registrations := []fleet.VM{leader.self, others[0].self, others[1].self}
+	registrations[0].Boot = "later"
+	for _, vm := range registrations {
+		vm.PeerAddress = "127.0.0.1:1"
+		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.ID), VM: &vm}, view.AnyOffset)
+		require.NoError(t, err)
+	}
+	claimant, byClaimant := startVM(t, "vm-next", store), &lossyCaller{lost: "t"}
+	claimant.keyCaller = byClaimant
+	replaceTarget([]*testVM{claimant})
+	assertNoGrantsBeside(t, calls[deputy], byClaimant, grantsToOtherTarget)
+}
+
+// Guards against two holders of a key beside two deputies: the leader asked a second VM
+// because the answer of the first was lost. The first became the leader as soon as it
+// reached the store, and the second went on with the support of the others.
+func TestClaimOfDeputyWaitsForAnotherDeputy(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others, stores, calls := startVMsWithStores(t, store, 6)
+	time.Sleep(2 * time.Second)
+	for _, s := range stores {
+		s.cut()
+	}
+	time.Sleep(syncInterval)
+	leader.retiring.Store(true)
+	leader.leadershipOf("s").handoverStarted.Store(true)
+	args := ActArgs{Service: "s", Record: leader.recordOf("s")}
+	leader.stop()
+	first, second := others[0], others[1]
+	require.NoError(t, (&handler{first.Service}).Act(args, &ActReply{}))
+	cutCalls(first, others) // the others hear of the second before they miss the first
+	time.Sleep(support.Lease)
+	require.NoError(t, (&handler{second.Service}).Act(args, &ActReply{}))
+	first.disconnect()
+	time.Sleep(leaderLease)
+	require.NoError(t, second.leadershipOf("s").mayGrant(), "the others do not support the second deputy")
+	calls[first].lost = "t"
+	replaceTarget([]*testVM{first})
+	stores[first].cutReads.Store(false)
+	stores[first].cutAppends.Store(false)
+	assertNoGrantsBeside(t, calls[second], calls[first], grantsToOtherTarget)
+}
