Log what a claim of a cell counts on

Cause: the hypotheses on two owners beside a deputy differ in whether the claimant knew of the deputy and in how long it waited; no line told either.

Change: a line for each claim with the record that it replaces, whether that process has ended, the deputy that the VM knows of, and the time for which earlier grants may hold.

Result: tests of claims and handovers in node/cell pass; no decision changes.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
+	s.logClaim(record, current, number)
 	m := s.inherit(svc, earlier())
 	if record.UnknownHolders {
 		s.logger.Warn("grants no keys until those that lost records may have granted are free", "service", svc.Name, "for", m.PriorManagerHoldBound()-s.clock.Now())
@@ -166,6 +167,23 @@
 	return nil
 }
 
+// logClaim logs what a claimed record says of earlier grants and what is known of those who
+// may have given them.
+func (s *Service) logClaim(record, previous *fleet.Cell, number int64) {
+	if previous == nil {
+		previous = &fleet.Cell{}
+	}
+	s.mu.Lock()
+	d := s.deputies[record.Service]
+	s.mu.Unlock()
+	deputy := ""
+	if d.change == previous.Change {
+		deputy = d.vm.ID
+	}
+	s.logger.Info("claimed the cell", "service", record.Service, "number", number, "previous_leader", previous.Leader, "previous_boot", previous.Boot, "previous_change", previous.Change,
+		"process_ended", processEnded(s.view, previous), "known_deputy", deputy, "earlier_grants", record.EarlierGrants)
+}
+
 // sameLeader reports whether two records name the same leader process. The records
 // may differ, because a VM may read a leader's last key assignments just before it
 // claims the cell.
