VMs support one process at a time that acts for a leader

Callers saw nothing of it; a test showed two targets that held one key. Cause: support was given to the leader's name, by whichever process asked. A leader that did not get a deputy's answer asked another VM, and both went on with the same supporters. When one of them reached the store it became the leader and counted on the other one to stop within leaderLease, which it need not.

Change: a request for support names the process that acts. A VM supports one of them at a time: another one only after that support has expired, or if the earlier one has stopped in its favour. A deputy grants keys by such support alone, not by the store's word, and its own VM's counts only if it is not promised elsewhere. A deputy that claims the cell asks the VMs first, which then support no other one; without a majority it waits as any claimant does. A deputy gets no support from a VM that is younger than a lease, whose earlier process may have given it to another one. A claim of the leader's own cell is recognized by its process, not by its VM: a new process there is a claimant like any other. TestLeaderThatClaimedItsOwnCellGetsSupport therefore names the process.

--- a/core/support/support_test.go
+++ b/core/support/support_test.go
@@ -19,6 +19,9 @@
 
 const ms = time.Millisecond
 
+// old is the leader that is replaced.
+var old = Grantor{Leader: "old"}
+
 // reply is a VM's reply in flight to the leader.
 type reply struct {
 	vm          string
@@ -46,7 +49,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0, 1: // a request reaches a VM, possibly late
 				requestedAt := now - time.Duration(rapid.IntRange(0, 900).Draw(t, "delay"))*ms
-				if followers[vm].GrantSupport(now, "old", true) {
+				if followers[vm].GrantSupport(now, old, true) {
 					inFlight = append(inFlight, reply{vm, requestedAt})
 				}
 			case 2:
@@ -55,8 +58,8 @@
 					leader.RecordSupport(inFlight[i].vm, inFlight[i].requestedAt)
 				}
 			case 3:
-				if !followers[vm].released["old"] {
-					supportEnd = max(supportEnd, now+followers[vm].Release(now, "old"))
+				if _, done := followers[vm].released["old"]; !done {
+					supportEnd = max(supportEnd, now+followers[vm].Release(now, "old", ""))
 					released++
 				}
 			}
@@ -96,7 +99,7 @@
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				requestedAt := now - time.Duration(rapid.IntRange(0, 900).Draw(t, "delay"))*ms
-				if p.GrantSupport(now, "old", !p.knowsNewLeader) {
+				if p.GrantSupport(now, old, !p.knowsNewLeader) {
 					inFlight = append(inFlight, reply{vm, requestedAt})
 				}
 			case 2:
@@ -107,7 +110,7 @@
 			case 3:
 				if !recordWritten {
 					releasedProcesses[vm] = p
-					longestSupport = max(longestSupport, Lease, p.Release(now, "old"))
+					longestSupport = max(longestSupport, Lease, p.Release(now, "old", ""))
 				}
 			case 4:
 				if recordWritten {
@@ -147,9 +150,39 @@
 // released, and against a wrong remaining time of released support.
 func TestFollower(t *testing.T) {
 	var f Follower
-	assert.False(t, f.GrantSupport(0, "a", false))
-	require.True(t, f.GrantSupport(0, "a", true))
-	assert.Zero(t, f.Release(0, "b"))
-	assert.Equal(t, 600*ms, f.Release(400*ms, "a"))
-	assert.False(t, f.GrantSupport(500*ms, "a", true))
+	a := Grantor{Leader: "a"}
+	assert.False(t, f.GrantSupport(0, a, false))
+	require.True(t, f.GrantSupport(0, a, true))
+	assert.Zero(t, f.Release(0, "b", ""))
+	assert.Equal(t, 600*ms, f.Release(400*ms, "a", ""))
+	assert.False(t, f.GrantSupport(500*ms, a, true))
+}
+
+// Guards against two deputies of a leader that count on the support of one VM, and against
+// a deputy that gets none after the one before has stopped in its favour.
+func TestFollowerSupportsOneDeputyAtATime(t *testing.T) {
+	var f Follower
+	first, second := Grantor{Leader: "a", Deputy: "b"}, Grantor{Leader: "a", Deputy: "c"}
+	require.True(t, f.GrantSupport(0, Grantor{Leader: "a"}, true))
+	require.True(t, f.GrantSupport(100*ms, first, true), "the leader has stopped in its favour")
+	assert.False(t, f.GrantSupport(200*ms, second, true))
+	assert.False(t, f.GrantSupport(200*ms, Grantor{Leader: "a"}, true), "a late request of the leader")
+	following := Grantor{Leader: "a", Deputy: "d", Follows: "b"}
+	require.True(t, f.GrantSupport(300*ms, following, true))
+	assert.False(t, f.GrantSupport(400*ms, first, true))
+	assert.True(t, f.GrantSupport(300*ms+Lease, second, true), "the support of the other one has expired")
+}
+
+// Guards against two deputies that claim their cell: one goes on to be supported by VMs that
+// promised the other one to support nobody else.
+func TestReleaseExceptsTheDeputyThatClaims(t *testing.T) {
+	var f Follower
+	b, c := Grantor{Leader: "a", Deputy: "b"}, Grantor{Leader: "a", Deputy: "c"}
+	require.True(t, f.GrantSupport(0, b, true))
+	assert.Zero(t, f.Release(100*ms, "a", "b"), "the claimant need not wait for its own support")
+	assert.True(t, f.GrantSupport(200*ms, b, true))
+	assert.False(t, f.GrantSupport(200*ms+Lease, c, true))
+	assert.Equal(t, 700*ms, f.Release(500*ms, "a", "c"))
+	assert.False(t, f.GrantSupport(200*ms+Lease, b, true), "released by the other deputy")
+	assert.False(t, f.GrantSupport(200*ms+Lease, c, true), "the first one's claim may still be written")
 }
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 )
@@ -22,11 +23,13 @@
 }
 
 // ActArgs asks a VM to become the deputy of the leader that sends it, which has stopped
-// granting keys. Record is the newest record of the cell.
+// granting keys. Record is the newest record of the cell. Follows is the process that sends
+// it if that is itself a deputy, or "".
 type ActArgs struct {
 	Service string
 	Record  []view.Change
 	Learned lending.Learned
+	Follows string
 }
 
 // ActReply tells whether the VM has become the deputy.
@@ -45,7 +48,7 @@
 // this leader, and reports whether one of them did.
 func (s *Service) appointDeputy(ctx context.Context, l *leadership) bool {
 	l.mu.Lock()
-	args := ActArgs{Service: l.service, Record: s.recordOf(l.service), Learned: l.lender.Learned()}
+	args := ActArgs{Service: l.service, Record: s.recordOf(l.service), Learned: l.lender.Learned(), Follows: l.deputyProcess()}
 	l.mu.Unlock()
 	c, _ := s.view.Cell(l.service)
 	for _, vm := range s.leaderCandidates(l.service) {
@@ -77,9 +80,15 @@
 		return errors.New("the VM cannot be deputy: it leads the cell already, or its configuration lacks the service")
 	}
 	s.mu.Lock()
-	s.learnedFromLeader[a.Service] = a.Learned
+	promised := !s.follower(a.Service).MaySupport(s.clock.Now(), support.Grantor{Leader: c.Leader + c.Boot, Deputy: s.process(), Follows: a.Follows})
+	if !promised {
+		s.learnedFromLeader[a.Service] = a.Learned
+	}
 	s.mu.Unlock()
-	s.startLeadingAs(a.Service, s.inherit(svc, maxHoldAfterLease(c.GrantHold())), number, c)
+	if promised {
+		return errors.New("the VM cannot be deputy: it has released the leader, or supports another deputy")
+	}
+	s.startLeadingAs(a.Service, s.inherit(svc, maxHoldAfterLease(c.GrantHold())), number, c, a.Follows)
 	s.announceDeputy(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self, Record: s.recordOf(a.Service)})
 	reply.Acts = true
 	return nil
@@ -132,6 +141,17 @@
 	return vm, c, ok && vm.Boot == c.Boot
 }
 
+// process identifies the process of this VM.
+func (s *Service) process() string { return s.self.ID + s.self.Boot }
+
+// deputyProcess returns the process of this VM if it is a deputy, and "" otherwise.
+func (l *leadership) deputyProcess() string {
+	if l.deputyFor == nil {
+		return ""
+	}
+	return l.s.process()
+}
+
 // claimAsDeputy writes a record that makes this deputy the leader, if the store answers.
 func (l *leadership) claimAsDeputy(ctx context.Context) {
 	cfg, _ := l.view.Config()
@@ -140,15 +160,19 @@
 		return
 	}
 	defer l.claimingAsDeputy.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, time.Second+syncTimeout)
 	defer cancel()
 	if err := l.s.readSystem(ctx); err != nil || !l.isCurrent() {
 		return // the store is still unreachable (the feed logs that), or the cell has a newer record
 	}
-	// The leader may have asked another VM to be deputy and lost its answer. That deputy
-	// is assumed to stop granting keys within leaderLease, as a leader without support does.
-	p := succession{grantBound: fixedBound(leaderLease), continuous: l.holdsLease()}
+	// The leader may have asked another VM to be deputy and lost its answer.
+	r := newReleaseVotes(l.service, l.deputyFor)
+	r.deputy = l.deputyProcess()
+	l.s.requestReleases(ctx, r)
+	p := succession{grantBound: func() time.Duration { return l.s.grantBound(r) }, continuous: l.holdsLease()}
 	if err := l.s.claim(ctx, svc, l.deputyFor, p); err != nil {
 		l.logger.Info("could not claim the cell", "error", err)
+		return
 	}
+	l.s.watchPreviousLeader(r)
 }
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -104,6 +104,7 @@
 	// deputyFor is the record of the leader whose deputy this VM is, or nil if this
 	// VM is the leader itself.
 	deputyFor        *fleet.Cell
+	follows          string        // the deputy that has stopped in favour of this one, or ""
 	hold             time.Duration // of the grants, as the record of the cell tells
 	startedAt        time.Duration
 	claimingAsDeputy atomic.Bool
@@ -234,8 +235,11 @@
 }
 
 // holdsLease reports whether the store has confirmed the newest record of the cell within
-// leaderLease or enough VMs support its leader.
-func (l *leadership) holdsLease() bool { return l.confirmed() || l.supported() }
+// leaderLease or enough VMs support its leader. A deputy needs their support: the store's
+// word does not tell that there is no other deputy.
+func (l *leadership) holdsLease() bool {
+	return l.deputyFor == nil && l.confirmed() || l.supported()
+}
 
 // isCurrent reports whether the newest known record of the cell is one of this leadership.
 func (l *leadership) isCurrent() bool { return l.currentRecord() != nil }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -224,8 +224,8 @@
 	}
 	s.claims.Inc(1)
 	go s.announceLeader(svc.Name)
-	if l := s.leadershipOf(svc.Name); l != nil && l.keys != nil && r != nil {
-		go l.watchPreviousLeader(r)
+	if r != nil {
+		s.watchPreviousLeader(r)
 	}
 }
 
@@ -243,20 +243,20 @@
 // startLeading starts to lead a cell as its leader, from the record with the given
 // number.
 func (s *Service) startLeading(service string, m *keyspace.Manager, number int64) {
-	s.startLeadingAs(service, m, number, nil)
+	s.startLeadingAs(service, m, number, nil, "")
 }
 
-// startLeadingAs starts to lead a cell: as deputy of the leader named in deputyFor,
-// or as the leader if deputyFor is nil. It ends an earlier leadership of the cell by
-// this VM, for example as deputy.
-func (s *Service) startLeadingAs(service string, m *keyspace.Manager, number int64, deputyFor *fleet.Cell) {
+// startLeadingAs starts to lead a cell: as deputy of the leader named in deputyFor, which
+// the deputy follows has stopped in favour of if it is not "", or as the leader if deputyFor
+// is nil. It ends an earlier leadership of the cell by this VM, for example as deputy.
+func (s *Service) startLeadingAs(service string, m *keyspace.Manager, number int64, deputyFor *fleet.Cell, follows string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
 		return
 	}
 	l := s.newLeadership(service, m)
-	l.deputyFor = deputyFor
+	l.deputyFor, l.follows, l.support.IsDeputy = deputyFor, follows, deputyFor != nil
 	if previous := s.leaderships[service]; previous != nil {
 		previous.cancel()
 		previous.close()
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -188,7 +188,7 @@
 	t.Parallel()
 	store := &memoryStore{era: 1}
 	leader, others := startLeader(t, store, 2)
-	restored := SupportArgs{Service: "s", Leader: leader.self.ID, Boot: leader.self.Boot, Claimant: leader.self.ID, AfterRestore: true}
+	restored := SupportArgs{Service: "s", Leader: leader.self.ID, Boot: leader.self.Boot, Claimant: leader.self.ID, ClaimantBoot: leader.self.Boot, AfterRestore: true}
 	h := &handler{others[0].Service}
 	var released ReleaseReply
 	require.NoError(t, h.Release(restored, &released))
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -19,17 +19,32 @@
 	supportInterval = 300 * time.Millisecond
 )
 
-// SupportArgs asks a VM to support a process as leader of a cell or, in a Release
-// call, never to support it again.
+// SupportArgs asks a VM to support a process that acts as leader of a cell or, in a
+// Release call, never to support the leader and its deputies again.
 type SupportArgs struct {
 	Service, Leader, Boot string
-	// Claimant is the VM that wants to claim the cell, in a Release call. It may be the
-	// leader itself, whose lease has ended.
-	Claimant string
+	// Change identifies the newest record of the cell that the caller knows.
+	Change uint64
+	// Deputy is the process that acts for the leader, "" for the leader itself, and Follows
+	// the deputy that has stopped in its favour. In a Release call Deputy is the claimant if
+	// that is a deputy, and Follows a deputy that has stopped in favour of the claimant.
+	Deputy, Follows string
+	// Claimant and ClaimantBoot name the process that wants to claim the cell, in a Release
+	// call. It may be the leader itself, whose lease has ended.
+	Claimant, ClaimantBoot string
 	// AfterRestore is set if a restored store may have lost later records than the one
-	// with Change, the newest that the claimant knows.
+	// with Change.
 	AfterRestore bool
-	Change       uint64
+}
+
+// grantor returns the process that asks for support.
+func (a SupportArgs) grantor() support.Grantor {
+	return support.Grantor{Leader: a.Leader + a.Boot, Deputy: a.Deputy, Follows: a.Follows}
+}
+
+// claimsOwnCell reports whether the leader itself claims the cell in a Release call.
+func (a SupportArgs) claimsOwnCell() bool {
+	return a.Claimant == a.Leader && a.ClaimantBoot == a.Boot
 }
 
 // SupportReply tells whether the VM supports the process for one lease.
@@ -38,24 +53,34 @@
 // ReleaseReply is the answer of a VM that was asked to stop supporting a process.
 type ReleaseReply struct {
 	Hears bool          // the process or its deputy answers the VM, which therefore keeps supporting it
-	Left  time.Duration // for how long the lease of earlier support still runs
+	Left  time.Duration // for how long support may last that this or an earlier process of the VM gave
 	Boot  string        // Boot of the VM that answers
 	// Record is the record of the cell that the VM knows, if it is not the claimant's.
 	Record []view.Change
 }
 
 // Support gives a process the support of this VM for one lease if the newest known record
-// of the cell names it as leader, it was not released, and seesOwnRegistration holds.
+// of the cell names it as leader, it was not released, and seesOwnRegistration holds. A
+// deputy gets it if that record is the one by which it grants keys.
 func (h *handler) Support(a SupportArgs, reply *SupportReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Support")
 	c, _ := h.s.view.Cell(a.Service)
 	leading := c != nil && c.Leader == a.Leader && c.Boot == a.Boot && h.s.seesOwnRegistration() && !h.s.mayLackRecords(a.Service)
+	if a.Deputy != "" {
+		leading = leading && c.Change == a.Change && h.s.earlierSupportLeft() <= 0
+	}
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
-	reply.Supports = h.s.follower(a.Service).GrantSupport(h.s.clock.Now(), a.Leader+a.Boot, leading)
+	reply.Supports = h.s.follower(a.Service).GrantSupport(h.s.clock.Now(), a.grantor(), leading)
 	return nil
 }
 
+// earlierSupportLeft returns for how long support may last that an earlier process of this
+// VM gave. It is negative if there can be none.
+func (s *Service) earlierSupportLeft() time.Duration {
+	return s.started + support.Lease - s.clock.Now()
+}
+
 // seesOwnRegistration reports whether this VM's view includes the registration of this
 // process, and so each earlier record of the system's log. A process that has just
 // started must not support a leader that such a record replaced.
@@ -76,8 +101,9 @@
 func (h *handler) Release(a SupportArgs, reply *ReleaseReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Release")
 	leader, c, known := h.s.currentLeader(a.Service)
-	same := known && c.Leader == a.Leader && c.Boot == a.Boot
-	if same && a.Claimant != leader.ID && h.s.heardRecently(leader.ID, leader.Boot) {
+	same := known && c.Leader == a.Leader && c.Boot == a.Boot && leader.ID+leader.Boot != a.Follows
+	// A deputy that claims the cell reaches the store, which another one that answers may not.
+	if same && a.Deputy == "" && a.Claimant != leader.ID && h.s.heardRecently(leader.ID, leader.Boot) {
 		reply.Hears = true
 		return nil
 	}
@@ -85,18 +111,20 @@
 		reply.Record = h.s.recordOf(a.Service)
 	}
 	reply.Boot = h.s.self.Boot
-	if a.Claimant != a.Leader { // a leader that claims its own cell needs support again
-		reply.Left = h.s.releaseSupport(a)
-	}
+	reply.Left = h.s.releaseSupport(a)
 	return nil
 }
 
-// releaseSupport makes this VM stop supporting a process for good, and returns for how
-// long the process may still count on the support.
+// releaseSupport makes this VM stop supporting a leader and its deputies for good, except
+// the one that claims the cell, and returns for how long they may still count on support of
+// this VM.
 func (s *Service) releaseSupport(a SupportArgs) time.Duration {
+	if a.claimsOwnCell() {
+		return 0 // it needs support again
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.follower(a.Service).Release(s.clock.Now(), a.Leader+a.Boot)
+	return max(s.earlierSupportLeft(), s.follower(a.Service).Release(s.clock.Now(), a.Leader+a.Boot, a.Deputy))
 }
 
 // follower returns this VM's support state for a cell. It is called with mu held.
@@ -142,26 +170,33 @@
 }
 
 // requestSupport asks all VMs to support this leader, unless it has started a handover,
-// if the store confirmed it last between supportAfter and support.MaxExtension ago.
+// if the store confirmed it last between supportAfter and support.MaxExtension ago. A
+// deputy asks from the start.
 func (l *leadership) requestSupport(ctx context.Context) {
-	if age := l.view.CellStaleness(l.service); age < supportAfter || age > support.MaxExtension {
+	if age := l.view.CellStaleness(l.service); age < supportAfter && l.deputyFor == nil || age > support.MaxExtension {
 		return
 	}
 	c, _ := l.view.Cell(l.service)
 	if c == nil || !l.isCurrent() || l.handoverStarted.Load() {
 		return
 	}
-	// A deputy asks for support of the leader that it stands in for.
-	asked, args := l.now(), SupportArgs{Service: l.service, Leader: c.Leader, Boot: c.Boot}
+	asked, args := l.now(), SupportArgs{Service: l.service, Leader: c.Leader, Boot: c.Boot, Change: c.Change, Deputy: l.deputyProcess(), Follows: l.follows}
 	supporters := 0
-	callAll(ctx, l.s, l.s.others(""), "Support", args, func(vm fleet.VM, reply SupportReply) {
+	record := func(vm fleet.VM, reply SupportReply) {
 		if reply.Supports {
 			supporters++
 			l.mu.Lock()
 			l.support.RecordSupport(vm.ID, asked)
 			l.mu.Unlock()
 		}
-	})
+	}
+	if l.deputyFor != nil {
+		var own SupportReply
+		if err := (&handler{l.s}).Support(args, &own); err == nil {
+			record(l.s.self, own)
+		}
+	}
+	callAll(ctx, l.s, l.s.others(""), "Support", args, record)
 	l.logger.Info("asked the VMs for support because the store has not confirmed the leadership recently", "supporters", supporters, "vms", len(l.view.VMs()), "confirmed_before", l.view.CellStaleness(l.service))
 }
 
@@ -186,28 +221,33 @@
 	boots   map[string]string // Boot of the process that released the leader, by VM
 	// restored tells that a restored store may have lost later records of the cell.
 	restored bool
+	// deputy is the process of this VM if it claims the cell as deputy of the leader, and
+	// follows that of a deputy that has stopped in its favour. Both are "" otherwise.
+	deputy, follows string
 }
 
 // releaseLeader asks all VMs to stop supporting the leader named in a record, which is nil
-// if none is known. ok is false if the leader still answers one of them. restored tells
-// that the store may have lost later records; the VMs then return those that they know.
+// if none is known, and its deputies. ok is false if one of them still answers a VM. restored
+// tells that the store may have lost later records; the VMs then return those that they know.
 func (s *Service) releaseLeader(ctx context.Context, service string, c *fleet.Cell, restored bool) (r *releaseVotes, ok bool) {
+	r = newReleaseVotes(service, c)
+	r.restored = restored
+	return r, s.requestReleases(ctx, r)
+}
+
+// newReleaseVotes returns empty votes on the leader named in a record, which may be nil.
+func newReleaseVotes(service string, c *fleet.Cell) *releaseVotes {
 	if c == nil {
 		c = &fleet.Cell{Service: service}
 	}
-	r = &releaseVotes{service: service, record: c, boots: map[string]string{}, restored: restored}
-	return r, s.requestReleases(ctx, r)
+	return &releaseVotes{service: service, record: c, boots: map[string]string{}}
 }
 
 func (s *Service) requestReleases(ctx context.Context, r *releaseVotes) (ok bool) {
-	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot, Claimant: s.self.ID, AfterRestore: r.restored, Change: r.record.Change}
+	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot, Change: r.record.Change, Deputy: r.deputy, Follows: r.follows,
+		Claimant: s.self.ID, ClaimantBoot: s.self.Boot, AfterRestore: r.restored}
 	ok = true
-	// A VM may have supported the leader and then restarted, so the support of its
-	// earlier process may last for up to one more lease.
-	r.left = support.Lease
-	if args.Claimant != args.Leader {
-		r.left = max(r.left, s.releaseSupport(args))
-	}
+	r.left = s.releaseSupport(args)
 	callAll(ctx, s, s.others(r.record.Leader), "Release", args, func(vm fleet.VM, reply ReleaseReply) {
 		if reply.Hears {
 			ok = false
@@ -242,19 +282,34 @@
 	return false
 }
 
-// grantBound returns for how long the previous leader may still grant keys after the
-// record of the new leader is written.
+// grantBound returns for how long the previous leader and its deputies may still grant keys
+// after the record of the new leader is written.
 func (s *Service) grantBound(r *releaseVotes) time.Duration {
-	if s.hasMajority(r) {
-		return max(leaderLease, r.left)
+	return support.GrantBound(s.hasMajority(r), r.left, s.leaseOfLeader(r))
+}
+
+// leaseOfLeader returns for how long the previous leader may grant keys by the store's word
+// after the record of the new leader is written: not at all if it has stopped in favour of
+// its deputy.
+func (s *Service) leaseOfLeader(r *releaseVotes) time.Duration {
+	if r.deputy != "" || r.follows != "" {
+		return 0
 	}
-	return support.MaxExtension
+	return leaderLease
 }
 
 // leaderReleaseRetryInterval is the delay between two rounds of release requests. VMs
 // that did not answer are suspended or restarting, which usually takes seconds.
 const leaderReleaseRetryInterval = 500 * time.Millisecond
 
+// watchPreviousLeader starts to lower the time up to which grants of the previous leader
+// are assumed to hold, if this VM leads the cell and the service has keys.
+func (s *Service) watchPreviousLeader(r *releaseVotes) {
+	if l := s.leadershipOf(r.service); l != nil && l.deputyFor == nil && l.keys != nil {
+		go l.watchPreviousLeader(r)
+	}
+}
+
 // watchPreviousLeader lowers the time up to which grants of the previous leader are
 // assumed to hold, once its process has ended or, if no majority of the VMs had
 // released it before the claim, once one has. Until then, keys of holders that do not
@@ -276,7 +331,7 @@
 		}
 		l.s.requestReleases(l.s.ctx, r)
 		if majority = l.s.hasMajority(r); majority {
-			l.lowerPriorManagerHoldBound(r, max(began+leaderLease, l.now()+r.left), "a majority of the VMs has released the previous leader")
+			l.lowerPriorManagerHoldBound(r, max(began+l.s.leaseOfLeader(r), l.now()+r.left), "a majority of the VMs has released the previous leader")
 		}
 	}
 }
