The end of a leader's process does not end the grants of its deputy

Callers saw nothing of it; a test showed two targets that held one key. Cause: a VM that saw that the process named in the record had ended claimed the cell at once, asked nobody, and counted on the end of all grants within one hold. A deputy of that leader, of which it had not heard, went on for up to 15 s with the support of other VMs. watchPreviousLeader lowered the wait for the same reason.

Change: each claim of a cell that has had a leader asks the VMs to release it and its deputies. The end of the process ends only the leader's own lease; without a majority the claimant waits for what a deputy may have. A claim by a new process on the leader's VM is treated alike. The VMs tell for how long support that they or an earlier process of theirs gave may last, in place of a whole lease each time, and a claimant whose predecessor's process has ended does not wait for VMs that do not answer once a majority has.

--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -200,7 +200,7 @@
 }
 
 // tryClaim claims a cell that has no leader or whose leader seems lost, unless the
-// leader still answers another VM.
+// leader or its deputy still answers another VM.
 func (s *Service) tryClaim(svc fleet.Service, seen *fleet.Cell) {
 	defer s.guard.Recover("claim a cell", "service", svc.Name)
 	defer func() {
@@ -211,7 +211,7 @@
 	}()
 	p := succession{grantBound: fixedBound(0)}
 	var r *releaseVotes
-	if restored := s.view.IsCellRestored(svc.Name); restored || seen != nil && !processEnded(s.view, seen) {
+	if restored := s.view.IsCellRestored(svc.Name); restored || seen != nil {
 		var ok bool
 		if r, ok = s.releaseLeader(s.ctx, svc.Name, seen, restored); !ok {
 			return
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -248,7 +248,13 @@
 		Claimant: s.self.ID, ClaimantBoot: s.self.Boot, AfterRestore: r.restored}
 	ok = true
 	r.left = s.releaseSupport(args)
-	callAll(ctx, s, s.others(r.record.Leader), "Release", args, func(vm fleet.VM, reply ReleaseReply) {
+	asked := s.others("")
+	if !s.leaderEnded(r) {
+		asked = s.others(r.record.Leader)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	callAll(ctx, s, asked, "Release", args, func(vm fleet.VM, reply ReleaseReply) {
 		if reply.Hears {
 			ok = false
 			s.logger.Info("not claiming the cell: its leader still answers another VM", "service", r.service, "leader", r.record.Leader, "by", vm.ID)
@@ -260,6 +266,9 @@
 		}
 		r.boots[vm.ID] = reply.Boot
 		r.left = max(r.left, reply.Left)
+		if s.leaseOfLeader(r) == 0 && s.countReleases(r) >= support.Majority(len(s.view.VMs())) {
+			cancel() // the leader itself does not answer, and VMs that are lost delay the claim
+		}
 	})
 	return ok
 }
@@ -269,17 +278,23 @@
 // that replaced it may not have read the new leader's record yet and may support the
 // old leader. Processes that register after that record know it.
 func (s *Service) hasMajority(r *releaseVotes) bool {
-	n, vms := 1, s.view.VMs() // this VM
-	for _, vm := range vms {
+	n, vms := s.countReleases(r), len(s.view.VMs())
+	if n >= support.Majority(vms) {
+		return true
+	}
+	s.logger.Info("no majority of VMs has released the previous leader", "service", r.service, "leader", r.record.Leader, "promised", n, "vms", vms)
+	return false
+}
+
+// countReleases returns how many VMs have released the leader, as hasMajority counts them.
+func (s *Service) countReleases(r *releaseVotes) int {
+	n := 1 // this VM
+	for _, vm := range s.view.VMs() {
 		if boot, released := r.boots[vm.ID]; released && boot == vm.Boot {
 			n++
 		}
 	}
-	if n >= support.Majority(len(vms)) {
-		return true
-	}
-	s.logger.Info("no majority of VMs has released the previous leader", "service", r.service, "leader", r.record.Leader, "promised", n, "vms", len(vms))
-	return false
+	return n
 }
 
 // grantBound returns for how long the previous leader and its deputies may still grant keys
@@ -290,14 +305,20 @@
 
 // leaseOfLeader returns for how long the previous leader may grant keys by the store's word
 // after the record of the new leader is written: not at all if it has stopped in favour of
-// its deputy.
+// its deputy, or its process has ended.
 func (s *Service) leaseOfLeader(r *releaseVotes) time.Duration {
-	if r.deputy != "" || r.follows != "" {
+	if r.deputy != "" || r.follows != "" || s.leaderEnded(r) {
 		return 0
 	}
 	return leaderLease
 }
 
+// leaderEnded reports whether the process of the previous leader is known to have ended. Its
+// deputies may go on. A restored store may lack the registration of a process that runs.
+func (s *Service) leaderEnded(r *releaseVotes) bool {
+	return !r.restored && r.record.Leader != "" && processEnded(s.view, r.record)
+}
+
 // leaderReleaseRetryInterval is the delay between two rounds of release requests. VMs
 // that did not answer are suspended or restarting, which usually takes seconds.
 const leaderReleaseRetryInterval = 500 * time.Millisecond
@@ -311,27 +332,29 @@
 }
 
 // watchPreviousLeader lowers the time up to which grants of the previous leader are
-// assumed to hold, once its process has ended or, if no majority of the VMs had
-// released it before the claim, once one has. Until then, keys of holders that do not
-// answer are not granted to others, and no keys are moved to balance the load.
+// assumed to hold: if no majority of the VMs had released it before the claim, once one
+// has, and then once its process has ended. Until then, keys of holders that do not answer
+// are not granted to others, and no keys are moved to balance the load.
 func (l *leadership) watchPreviousLeader(r *releaseVotes) {
 	began, majority := l.now(), l.s.hasMajority(r)
-	for l.previousGrantsLeft() > 0 {
+	releasedUntil := began + r.left // end of the support that the majority gave before
+	ended := l.s.leaseOfLeader(r) == 0
+	for l.previousGrantsLeft() > 0 && !(majority && ended) {
 		select {
 		case <-l.closed:
 			return
 		case <-time.After(leaderReleaseRetryInterval):
 		}
-		if !r.restored && processEnded(l.view, r.record) {
-			l.lowerPriorManagerHoldBound(r, l.now(), "the previous leader's process has ended")
-			return
-		}
-		if majority {
-			continue
+		if !majority {
+			l.s.requestReleases(l.s.ctx, r)
+			if majority = l.s.hasMajority(r); !majority {
+				continue
+			}
+			releasedUntil = l.now() + r.left
+			l.lowerPriorManagerHoldBound(r, max(began+l.s.leaseOfLeader(r), releasedUntil), "a majority of the VMs has released the previous leader")
 		}
-		l.s.requestReleases(l.s.ctx, r)
-		if majority = l.s.hasMajority(r); majority {
-			l.lowerPriorManagerHoldBound(r, max(began+l.s.leaseOfLeader(r), l.now()+r.left), "a majority of the VMs has released the previous leader")
+		if ended = l.s.leaseOfLeader(r) == 0; ended {
+			l.lowerPriorManagerHoldBound(r, max(l.now(), releasedUntil), "the previous leader's process has ended, and a majority of the VMs has released it")
 		}
 	}
 }
--- a/node/cell/support_test.go
+++ b/node/cell/support_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -108,6 +110,38 @@
 	require.Eventually(t, func() bool { return l.previousGrantsLeft() <= maxHoldAfterLease(fleet.ShortestHold) }, leaderLease/2, 10*time.Millisecond)
 }
 
+// Guards against a longer wait for the keys of a leader whose process has ended, since its
+// claimant asks the other VMs for releases: neither for the leader's lease, nor for VMs
+// that do not answer once a majority has.
+func TestClaimAfterEndOfLeadersProcessDoesNotWaitForItsLease(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 4)
+	silent, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
+	require.NoError(t, err)
+	defer silent.Close()
+	register := func(vm fleet.VM) {
+		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.ID), VM: &vm}, view.AnyOffset)
+		require.NoError(t, err)
+	}
+	register(fleet.VM{ID: "vm-silent", Boot: "b", PeerAddress: silent.Addr().String(), Cores: 0.1})
+	time.Sleep(support.Lease)
+	leader.stop()
+	restarted := leader.self
+	restarted.Boot = "later"
+	register(restarted)
+	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 5*time.Second, 5*time.Millisecond)
+	next := leaders(others)[0]
+	record, _ := next.view.Cell("s")
+	assert.LessOrEqual(t, record.EarlierGrants, maxHoldAfterLease(fleet.ShortestHold))
+	ended := fleet.Cell{Service: "s", Leader: leader.self.ID, Boot: leader.self.Boot}
+	began := time.Now()
+	r, ok := next.releaseLeader(t.Context(), "s", &ended, false)
+	assert.Less(t, time.Since(began), syncTimeout/2)
+	assert.True(t, ok)
+	assert.Zero(t, max(0, next.grantBound(r)))
+}
+
 // Guards against a VM that is cut off from all others and takes over a cell as fast as
 // one that the others reach: the questions that its requests put to the lost leader
 // counted as answers.
