A late announcement of a deputy does not hide the present one

Nobody saw it. Cause: the last announcement that a VM received counted as the deputy, whichever record it was for. A late one of an earlier deputy hid the present one, and the leader that had stopped began to lead again beside it.

Change: an announcement for another record does not replace that of a deputy for the newest one, and the record that comes with it is applied first.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -111,14 +111,20 @@
 // Deputy records that another VM has become a deputy, and applies the leader's record.
 func (h *handler) Deputy(a DeputyArgs, _ *struct{}) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Deputy")
+	err = h.s.view.Learn(a.Record)
 	h.s.noteDeputy(a)
-	return h.s.view.Learn(a.Record)
+	return err
 }
 
-// noteDeputy records which VM is deputy of a cell's leader.
+// noteDeputy records which VM is deputy of a cell's leader, unless one is known for the
+// newest record and the given one is for another record.
 func (s *Service) noteDeputy(a DeputyArgs) {
+	c, _ := s.view.Cell(a.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if d, has := s.deputies[a.Service]; has && c != nil && d.change == c.Change && a.Change != c.Change {
+		return
+	}
 	s.deputies[a.Service] = deputy{a.Change, a.VM}
 	s.logger.Info("VM is deputy of a cell's leader", "service", a.Service, "vm", a.VM.ID, "boot", a.VM.Boot, "change", a.Change)
 }
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -213,3 +213,20 @@
 	stores[first].cutAppends.Store(false)
 	assertNoGrantsBeside(t, calls[second], calls[first], grantsToOtherTarget)
 }
+
+// Guards against a leader that begins anew beside its deputy: a late announcement of an
+// earlier deputy hid the present one.
+func TestLateAnnouncementDoesNotHideTheDeputy(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	time.Sleep(support.Lease)
+	store.setDown(true)
+	time.Sleep(syncInterval)
+	leader.Retire(t.Context())
+	require.Eventually(t, func() bool { return len(leaders(others)) == 1 && leader.leadershipOf("s") == nil }, 2*time.Second, 5*time.Millisecond)
+	record, _ := leader.view.Cell("s")
+	require.NoError(t, (&handler{leader.Service}).Deputy(DeputyArgs{Service: "s", Change: record.Change - 1, VM: others[1].self}, &struct{}{}))
+	time.Sleep(3 * reconcileInterval)
+	assert.Nil(t, leader.leadershipOf("s"))
+}
