A leader that a deputy may act for does not go on

Nobody saw it; a test showed a leader and its deputy that both may grant keys. Cause: a leader that stops while the store refuses all VMs went on when each VM had refused to lead, although a VM that it had asked to be its deputy may act: a lost answer counted as a refusal.

Change: a VM that refuses to be deputy says so, and the leader goes on only if all that were asked did. Candidates are not asked once the time for the handover is over. The price: after a lost answer of a VM that does not act, keys are not renewed until another VM leads.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -7,6 +7,7 @@
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/support"
+	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 )
@@ -32,8 +33,12 @@
 	Follows string
 }
 
-// ActReply tells whether the VM has become the deputy.
-type ActReply struct{ Acts bool }
+// ActReply tells whether the VM has become the deputy. Refused is why the VM has not and
+// will not; it is empty if the VM may have.
+type ActReply struct {
+	Acts    bool
+	Refused string
+}
 
 // DeputyArgs announces that VM is the deputy of the leader named in the record that
 // Change identifies.
@@ -45,22 +50,30 @@
 }
 
 // appointDeputy asks the candidates one after the other to become the deputy of
-// this leader, and reports whether one of them did.
-func (s *Service) appointDeputy(ctx context.Context, l *leadership) bool {
+// this leader, and reports whether one of them did. refused tells that all have refused;
+// otherwise one of them may act although its answer was lost.
+func (s *Service) appointDeputy(ctx context.Context, l *leadership) (acts, refused bool) {
 	l.mu.Lock()
 	args := ActArgs{Service: l.service, Record: s.recordOf(l.service), Learned: l.lender.Learned(), Follows: l.deputyProcess()}
 	l.mu.Unlock()
 	c, _ := s.view.Cell(l.service)
+	refused = true
 	for _, vm := range s.leaderCandidates(l.service) {
+		if ctx.Err() != nil {
+			break // the others are not asked
+		}
 		var reply ActReply
 		err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Act", args, &reply)
 		if err == nil && reply.Acts {
 			s.noteDeputy(DeputyArgs{Service: l.service, Change: c.Change, VM: vm})
-			return true
+			return true, false
 		}
-		s.logger.Info("VM did not become deputy of the leader", "service", l.service, "vm", vm.ID, "error", err)
+		var lost *peer.CallError
+		notAsked := errors.As(err, &lost) && !lost.MayHaveRun
+		refused = refused && (notAsked || err == nil && reply.Refused != "")
+		s.logger.Info("VM did not become deputy of the leader", "service", l.service, "vm", vm.ID, "refused", reply.Refused, "error", err)
 	}
-	return false
+	return false, refused
 }
 
 // Act makes this VM the deputy of the calling leader.
@@ -68,30 +81,41 @@
 	defer h.s.guard.RecoverError(&err, "answer the RPC Act")
 	s := h.s
 	if err := s.view.Learn(a.Record); err != nil {
-		return err
+		reply.Refused = err.Error()
+		return nil
+	}
+	svc, c, number, err := s.prepareAct(a)
+	if err != nil {
+		reply.Refused = err.Error()
+		return nil
 	}
+	s.mu.Lock()
+	s.learnedFromLeader[a.Service] = a.Learned
+	s.mu.Unlock()
+	s.startLeadingAs(a.Service, s.inherit(svc, maxHoldAfterLease(c.GrantHold())), number, c, a.Follows)
+	s.announceDeputy(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self, Record: s.recordOf(a.Service)})
+	reply.Acts = true
+	return nil
+}
+
+// prepareAct checks whether this VM can be the deputy that a leader asks for, and returns
+// the service with the leader's record and its number.
+func (s *Service) prepareAct(a ActArgs) (svc fleet.Service, c *fleet.Cell, number int64, err error) {
 	cfg, _ := s.view.Config()
-	c, number := s.view.Cell(a.Service)
+	c, number = s.view.Cell(a.Service)
 	if s.retiring.Load() || cfg == nil || c == nil || len(a.Record) == 0 || a.Record[0].Offset != view.Offset(number) {
-		return errors.New("the VM cannot be deputy: it is shutting down, has no configuration, or knows another record than the one sent")
+		return svc, nil, 0, errors.New("the VM cannot be deputy: it is shutting down, has no configuration, or knows another record than the one sent")
 	}
 	svc, ok := cfg.Service(a.Service)
 	if !ok || s.leadershipOf(a.Service) != nil {
-		return errors.New("the VM cannot be deputy: it leads the cell already, or its configuration lacks the service")
+		return svc, nil, 0, errors.New("the VM cannot be deputy: it leads the cell already, or its configuration lacks the service")
 	}
 	s.mu.Lock()
-	promised := !s.follower(a.Service).MaySupport(s.clock.Now(), support.Grantor{Leader: c.Leader + c.Boot, Deputy: s.process(), Follows: a.Follows})
-	if !promised {
-		s.learnedFromLeader[a.Service] = a.Learned
-	}
-	s.mu.Unlock()
-	if promised {
-		return errors.New("the VM cannot be deputy: it has released the leader, or supports another deputy")
+	defer s.mu.Unlock()
+	if !s.follower(a.Service).MaySupport(s.clock.Now(), support.Grantor{Leader: c.Leader + c.Boot, Deputy: s.process(), Follows: a.Follows}) {
+		return svc, nil, 0, errors.New("the VM cannot be deputy: it has released the leader, or supports another deputy")
 	}
-	s.startLeadingAs(a.Service, s.inherit(svc, maxHoldAfterLease(c.GrantHold())), number, c, a.Follows)
-	s.announceDeputy(DeputyArgs{Service: a.Service, Change: c.Change, VM: s.self, Record: s.recordOf(a.Service)})
-	reply.Acts = true
-	return nil
+	return svc, c, number, nil
 }
 
 // announceDeputy tells all VMs to ask the deputy for slots. It does not wait for them.
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -116,6 +116,13 @@
 	return leader, others, stores, calls
 }
 
+// requireActs makes a VM the deputy of a leader.
+func requireActs(t *testing.T, vm *testVM, args ActArgs) {
+	var reply ActReply
+	require.NoError(t, (&handler{vm.Service}).Act(args, &reply))
+	require.True(t, reply.Acts, reply.Refused)
+}
+
 // cutCalls makes a VM unable to call the others.
 func cutCalls(vm *testVM, others []*testVM) {
 	var changes []view.Change
@@ -200,10 +207,10 @@
 	args := ActArgs{Service: "s", Record: leader.recordOf("s")}
 	leader.stop()
 	first, second := others[0], others[1]
-	require.NoError(t, (&handler{first.Service}).Act(args, &ActReply{}))
+	requireActs(t, first, args)
 	cutCalls(first, others) // the others hear of the second before they miss the first
 	time.Sleep(support.Lease)
-	require.NoError(t, (&handler{second.Service}).Act(args, &ActReply{}))
+	requireActs(t, second, args)
 	first.disconnect()
 	time.Sleep(leaderLease)
 	require.NoError(t, second.leadershipOf("s").mayGrant(), "the others do not support the second deputy")
@@ -214,6 +221,34 @@
 	assertNoGrantsBeside(t, calls[second], calls[first], grantsToOtherTarget)
 }
 
+// Guards against a leader that grants keys beside its deputy: the deputy's answer was lost,
+// and the leader went on because all VMs had refused to lead.
+func TestLeaderStopsIfADeputyMayAct(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	l := leader.leadershipOf("s")
+	time.Sleep(support.Lease)
+	store.setDown(true)
+	time.Sleep(syncInterval)
+	leader.retiring.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	for _, vm := range others { // delays their answers until the leader has given up
+		vm.mu.Lock()
+	}
+	leader.handOver(ctx, l, []fleet.VM{others[0].self, others[1].self}, "a test")
+	for _, vm := range others {
+		vm.mu.Unlock()
+	}
+	require.Eventually(t, func() bool { return len(leaders(others)) > 0 }, time.Second, time.Millisecond)
+	deputy := leaders(others)[0].leadershipOf("s")
+	require.Eventually(t, func() bool { return deputy.mayGrant() == nil }, time.Second, time.Millisecond)
+	for end := time.Now().Add(support.Lease); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		require.Error(t, l.mayGrant(), "the leader may grant keys beside its deputy")
+	}
+}
+
 // Guards against a leader that begins anew beside its deputy: a late announcement of an
 // earlier deputy hid the present one.
 func TestLateAnnouncementDoesNotHideTheDeputy(t *testing.T) {
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -86,7 +86,8 @@
 // handOver asks the candidates one after the other to lead a cell until one of them
 // does. From the first request on this VM grants no keys, because the new leader
 // relies on that and its answer may be lost. If no VM takes over, not even as deputy,
-// this VM grants keys again: at once if all candidates refused, otherwise by reclaim.
+// this VM grants keys again: at once if all candidates refused, otherwise by reclaim. It
+// does not if a VM may act as its deputy, which only the other VMs could stop.
 func (s *Service) handOver(ctx context.Context, l *leadership, candidates []fleet.VM, why string) {
 	c, _ := s.view.Cell(l.service)
 	restored := s.view.IsCellRestored(l.service)
@@ -117,8 +118,14 @@
 		refused = refused && err == nil && reply.Refused != ""
 		s.logger.Info("VM did not take over the cell", "service", l.service, "vm", vm.ID, "refused", reply.Refused, "error", err)
 	}
-	if s.retiring.Load() && s.appointDeputy(ctx, l) {
-		return
+	if s.retiring.Load() {
+		switch acts, allRefused := s.appointDeputy(ctx, l); {
+		case acts:
+			return
+		case !allRefused:
+			s.logger.Warn("grants no keys any more: a VM that was asked to be deputy did not answer and may act", "service", l.service)
+			return
+		}
 	}
 	if refused {
 		l.handoverStarted.Store(false) // no candidate has written or will write a record
