The successor of a deputy waits for another deputy

Callers saw nothing of it; a test showed two targets that held one key. Cause: a VM that takes a cell over at the request of a VM that stops granting keys counted on the end of all grants. Right for a leader, of which there is one; a deputy may not be the only one.

Change: a VM that takes over from a deputy first asks the VMs to release the leader and its deputies, and without a majority waits as any claimant does.

--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -265,3 +265,39 @@
 	time.Sleep(3 * reconcileInterval)
 	assert.Nil(t, leader.leadershipOf("s"))
 }
+
+// Guards against two holders of a key: a deputy that stops hands the cell to a VM that
+// reaches the store, which counted on the end of all grants although another deputy went on.
+func TestSuccessorOfDeputyWaitsForAnotherDeputy(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others, stores, calls := startVMsWithStores(t, store, 6)
+	time.Sleep(2 * time.Second)
+	for _, s := range stores {
+		s.cut()
+	}
+	time.Sleep(syncInterval)
+	leader.retiring.Store(true)
+	leader.leadershipOf("s").handoverStarted.Store(true)
+	args := ActArgs{Service: "s", Record: leader.recordOf("s")}
+	leader.stop()
+	first, second := others[0], others[1]
+	requireActs(t, first, args)
+	cutCalls(first, others)
+	time.Sleep(support.Lease)
+	requireActs(t, second, args)
+	first.disconnect()
+	for _, vm := range others { // the successor reaches none of them
+		unreachable := vm.self
+		unreachable.PeerAddress = "127.0.0.1:1"
+		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.self.ID), VM: &unreachable}, view.AnyOffset)
+		require.NoError(t, err)
+	}
+	next, byNext := startVM(t, "vm-next", store), &lossyCaller{lost: "t"}
+	next.keyCaller = byNext
+	replaceTarget([]*testVM{next})
+	require.Eventually(t, next.view.Ready, time.Second, time.Millisecond)
+	first.handOver(t.Context(), first.leadershipOf("s"), []fleet.VM{next.self}, "a test")
+	require.NotNil(t, next.leadershipOf("s"))
+	assertNoGrantsBeside(t, calls[second], byNext, grantsToOtherTarget)
+}
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -49,6 +49,9 @@
 	Earlier EarlierGrants
 	// HoldsLease tells that the present leader held its lease when it stopped granting.
 	HoldsLease bool
+	// Deputy is the process that sends this if it is the deputy of the present leader, or "".
+	// The leader may have appointed another deputy, which goes on.
+	Deputy string
 }
 
 // TakeReply is the result of a Take call.
@@ -98,7 +101,7 @@
 		return
 	}
 	l.mu.Lock()
-	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned()}
+	args := TakeArgs{Service: l.service, Change: c.Change, Learned: l.lender.Learned(), Deputy: l.deputyProcess()}
 	l.mu.Unlock()
 	args.HoldsLease, args.Earlier = l.keys == nil || l.holdsLease(), l.earlierGrants()
 	if restored {
@@ -338,5 +341,16 @@
 	if !a.HoldsLease && s.view.IsCellRestored(svc.Name) {
 		p = succession{grantBound: fixedBound(support.MaxExtension), afterRestore: true}
 	}
-	return s.claim(ctx, svc, c, p)
+	if a.Deputy == "" {
+		return s.claim(ctx, svc, c, p)
+	}
+	r := newReleaseVotes(svc.Name, c)
+	r.follows, r.restored = a.Deputy, p.afterRestore
+	s.requestReleases(ctx, r)
+	p.grantBound = func() time.Duration { return s.grantBound(r) }
+	if err := s.claim(ctx, svc, c, p); err != nil {
+		return err
+	}
+	s.watchPreviousLeader(r)
+	return nil
 }
