A claimed record counts releases as of its writing

Nobody saw it; read in the code. Cause: a claim counted the VMs that had released the previous leader, noted in its record for how long earlier grants may hold, and then wrote the record, again after each conflict. A VM that restarted meanwhile no longer counts, and may support the leader again. The claimant itself counted once more after the write, but a successor that has only the record waited for the shorter time.

Change: the time is counted anew before each append, from what the append's condition covers.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -35,6 +35,12 @@
 // known or ctx ends. It returns errCellChanged if the cell has another record, and
 // errStoreRestored if the store was restored meanwhile.
 func (s *Service) write(ctx context.Context, c, previous *fleet.Cell) (int64, error) {
+	return s.writeWith(ctx, c, previous, func() {})
+}
+
+// writeWith is write with a function that updates the record from what the view holds up to
+// the end on which the next append depends.
+func (s *Service) writeWith(ctx context.Context, c, previous *fleet.Cell, update func()) (int64, error) {
 	c.Change, c.Era = rand.Uint64(), view.Era(s.view.End(view.System))
 	change := view.Change{Log: view.System, Key: view.CellKey(c.Service), Cell: c}
 	for {
@@ -50,6 +56,7 @@
 		case !sameRecord(current, previous):
 			return 0, errCellChanged
 		}
+		update()
 		began := s.clock.Now()
 		offset, err := s.store.Append(ctx, change, end)
 		if err == nil {
@@ -148,13 +155,17 @@
 	earlier := func() time.Duration { return max(p.grantBound()+maxHoldAfterLease(hold), inherited.Left) }
 	record := &fleet.Cell{Service: svc.Name, Leader: s.self.ID, Boot: s.self.Boot}
 	if svc.Keyed {
-		record.EarlierGrants = earlier()
 		record.UnknownHolders = recordsLost || inherited.UnknownHolders
 		cfg, _ := s.view.Config()
 		record.Hold = holdFor(cfg, svc.Name)
 		record.Keys = keyspace.New(keyConfig(record.Hold), resolveFences(current, currentNumber), 0).TakeOver()
 	}
-	number, err := s.write(ctx, record, current)
+	// Releases count if their processes are registered when the record is written.
+	number, err := s.writeWith(ctx, record, current, func() {
+		if svc.Keyed {
+			record.EarlierGrants = earlier()
+		}
+	})
 	if err != nil {
 		return errors.Wrap(err, "write the record that claims the cell")
 	}
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
+	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -345,3 +346,48 @@
 	l.commit(t.Context(), own, own.Keys)
 	assert.Equal(t, records, store.cellRecords())
 }
+
+// hookedStore runs a function once before the next append of a cell's record.
+type hookedStore struct {
+	*memoryStore
+	beforeCell func()
+}
+
+func (s *hookedStore) Append(ctx context.Context, c view.Change, end int64) (int64, error) {
+	if hook := s.beforeCell; hook != nil && c.Cell != nil {
+		s.beforeCell = nil
+		hook()
+	}
+	return s.memoryStore.Append(ctx, c, end)
+}
+
+// Guards against two holders of a key after two successions in a row: a VM that had released
+// the leader restarted before the claim was written, and the record told the next successor
+// of the shorter wait that its release would have allowed.
+func TestRecordCountsReleasesAsOfItsWriting(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	leader.disconnect()
+	claimantStore := &hookedStore{memoryStore: store}
+	claimant := startVM(t, "vm-next", claimantStore)
+	claimant.retiring.Store(true) // it claims only below
+	require.Eventually(t, func() bool { return len(claimant.view.VMs()) == 3 }, time.Second, time.Millisecond)
+	others[0].retiring.Store(true)
+	claimantStore.beforeCell = func() {
+		restarted := others[0].self
+		restarted.Boot = "later"
+		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(restarted.ID), VM: &restarted}, view.AnyOffset)
+		assert.NoError(t, err)
+	}
+	seen, _ := claimant.view.Cell("s")
+	var r *releaseVotes
+	require.Eventually(t, func() (released bool) {
+		r, released = claimant.releaseLeader(t.Context(), "s", seen, false)
+		return released && claimant.hasMajority(r)
+	}, 2*leaderTimeout, 10*time.Millisecond)
+	p := succession{grantBound: func() time.Duration { return claimant.grantBound(r) }}
+	require.NoError(t, claimant.claim(t.Context(), fleet.Service{Name: "s", Keyed: true}, seen, p))
+	record, _ := claimant.view.Cell("s")
+	assert.GreaterOrEqual(t, record.EarlierGrants, support.MaxExtension)
+}
