--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -138,6 +138,11 @@
 
 // startVM starts a VM that is registered in the store and stops when the test ends.
 func startVM(t *testing.T, id string, store view.Store) *testVM {
+	return startProcess(t, id, "boot-"+id, store)
+}
+
+// startProcess starts a process of a VM; see startVM.
+func startProcess(t *testing.T, id, boot string, store view.Store) *testVM {
 	free, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
 	require.NoError(t, err)
 	address := free.Addr().String()
@@ -148,7 +153,7 @@
 		Version: 1, Services: []fleet.Service{{Name: "s", Keyed: true}},
 	}}}, 1, c.Now())
 	v.Apply(view.Targets, []view.Change{{Log: view.Targets, Key: "t", Target: &fleet.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "z", Slots: 3}}}, 1, c.Now())
-	self := fleet.VM{ID: id, PeerAddress: address, Boot: "boot-" + id, Cores: 1}
+	self := fleet.VM{ID: id, PeerAddress: address, Boot: boot, Cores: 1}
 	_, err = store.Append(context.Background(), view.Change{Key: view.VMKey(id), VM: &self}, view.AnyOffset)
 	require.NoError(t, err)
 	server := peer.NewServer(address, nil, nil, logger, registry)
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -164,30 +164,48 @@
 // deputy took the end of the leader's process for the end of all grants by its record.
 func TestClaimWaitsForGrantsOfUnknownDeputy(t *testing.T) {
 	t.Parallel()
-	store := &memoryStore{}
-	leader, others, stores, calls := startVMsWithStores(t, store, 3)
-	time.Sleep(time.Second)
-	for _, s := range stores {
-		s.cut()
-	}
-	time.Sleep(syncInterval)
-	leader.Retire(context.Background())
-	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 2*time.Second, 5*time.Millisecond)
-	leader.stop()
-	deputy := leaders(others)[0]
-	// A new process of the leader's VM is registered. The claimant reaches neither it nor the
-	// VMs that support the deputy.
-	registrations := []fleet.VM{leader.self, others[0].self, others[1].self}
-	registrations[0].Boot = "later"
-	for _, vm := range registrations {
-		vm.PeerAddress = "127.0.0.1:1"
-		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.ID), VM: &vm}, view.AnyOffset)
-		require.NoError(t, err)
+	for _, how := range []string{"later VM", "leader's VM", "lost announcement"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			store := &memoryStore{}
+			leader, others, stores, calls := startVMsWithStores(t, store, 5)
+			time.Sleep(time.Second)
+			for _, s := range stores {
+				s.cut()
+			}
+			time.Sleep(syncInterval)
+			leader.Retire(context.Background())
+			require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 2*time.Second, 5*time.Millisecond)
+			leader.stop()
+			deputy := leaders(others)[0]
+			// The claimant reaches neither the deputy nor, unless these have not heard of it either,
+			// the VMs that support it.
+			for _, vm := range others {
+				unreachable := vm.self
+				unreachable.PeerAddress = "127.0.0.1:1"
+				if how == "lost announcement" && vm != deputy {
+					vm.mu.Lock()
+					delete(vm.deputies, "s")
+					vm.mu.Unlock()
+					continue
+				}
+				_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.self.ID), VM: &unreachable}, view.AnyOffset)
+				require.NoError(t, err)
+			}
+			id := leader.self.ID
+			if how != "leader's VM" {
+				ended := fleet.VM{ID: id, Boot: "later", PeerAddress: "127.0.0.1:1", Cores: 1}
+				_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(id), VM: &ended}, view.AnyOffset)
+				require.NoError(t, err)
+				id = "vm-next"
+			}
+			claimant, byClaimant := startProcess(t, id, "later", store), &lossyCaller{lost: "t"}
+			claimant.keyCaller = byClaimant
+			replaceTarget([]*testVM{claimant})
+			require.Eventually(t, func() bool { return claimant.leadershipOf("s") != nil }, 2*isolationDelay, 5*time.Millisecond)
+			assertNoGrantsBeside(t, calls[deputy], byClaimant, grantsToOtherTarget)
+		})
 	}
-	claimant, byClaimant := startVM(t, "vm-next", store), &lossyCaller{lost: "t"}
-	claimant.keyCaller = byClaimant
-	replaceTarget([]*testVM{claimant})
-	assertNoGrantsBeside(t, calls[deputy], byClaimant, grantsToOtherTarget)
 }
 
 // Guards against two holders of a key beside two deputies: the leader asked a second VM
