A leader appoints no deputy while a VM may lead in its place

Cause: a leader that stops and lost the answer of a VM that it had asked to lead appointed a deputy next. The VM that leads counts on the end of all grants, since the leader has stopped and had no deputy when it asked.

Change: a deputy is asked only if all VMs that were asked to lead have refused, or certainly not been reached. A call that did not reach its VM counts as a refusal for both. The price: no deputy after a lost answer in an outage; keys are not renewed until a VM leads.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -7,7 +7,6 @@
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/support"
-	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 )
@@ -68,9 +67,7 @@
 			s.noteDeputy(DeputyArgs{Service: l.service, Change: c.Change, VM: vm})
 			return true, false
 		}
-		var lost *peer.CallError
-		notAsked := errors.As(err, &lost) && !lost.MayHaveRun
-		refused = refused && (notAsked || err == nil && reply.Refused != "")
+		refused = refused && (notCalled(err) || err == nil && reply.Refused != "")
 		s.logger.Info("VM did not become deputy of the leader", "service", l.service, "vm", vm.ID, "refused", reply.Refused, "error", err)
 	}
 	return false, refused
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -319,3 +319,48 @@
 	require.NotNil(t, next.leadershipOf("s"))
 	assertNoGrantsBeside(t, calls[second], byNext, grantsToOtherTarget)
 }
+
+// Guards against two holders of a key: a leader that stops asked a VM to lead, lost the
+// answer, and then appointed a deputy. The VM that leads counted on the end of all grants.
+func TestNoDeputyBesideAVMThatMayLead(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others, stores, calls := startVMsWithStores(t, store, 6)
+	time.Sleep(2 * time.Second)
+	for _, s := range stores {
+		s.cut()
+	}
+	time.Sleep(syncInterval)
+	first := leader.leaderCandidates("s")[0].ID
+	next := others[slices.IndexFunc(others, func(vm *testVM) bool { return vm.self.ID == first })]
+	calls[next].lost = "t"
+	replaceTarget([]*testVM{next})
+	stores[next].cutReads.Store(false) // it reaches the store, whose answers are slow at first
+	retired := make(chan struct{})
+	go func() {
+		defer close(retired)
+		leader.Retire(context.Background())
+	}()
+	require.Eventually(t, func() bool {
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		return next.claiming["s"]
+	}, time.Second, time.Millisecond)
+	cutCalls(next, append([]*testVM{leader}, others...)) // no connection to it is left
+	go next.disconnect()                                 // closes the connections at once, and waits for the call
+	time.Sleep(500 * time.Millisecond)                   // the others have refused, and a deputy could act
+	stores[next].cutAppends.Store(false)
+	<-retired
+	leader.stop()
+	require.Eventually(t, func() bool { return next.leadershipOf("s") != nil }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		return slices.ContainsFunc(calls[next].taken(), func(c KeyCall) bool { return c.Target == "u" })
+	}, grantsToOtherTarget, 5*time.Millisecond)
+	for _, vm := range others {
+		calls[vm].taken()
+	}
+	time.Sleep(3 * renewInterval)
+	for _, vm := range others {
+		assert.True(t, vm == next || len(calls[vm].taken()) == 0, "%s grants keys beside the new leader", vm.self.ID)
+	}
+}
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -10,6 +10,7 @@
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/support"
+	"github.com/mangogate/mangogate/node/peer"
 	"github.com/mangogate/mangogate/node/view"
 	"github.com/pkg/errors"
 )
@@ -90,7 +91,8 @@
 // does. From the first request on this VM grants no keys, because the new leader
 // relies on that and its answer may be lost. If no VM takes over, not even as deputy,
 // this VM grants keys again: at once if all candidates refused, otherwise by reclaim. It
-// does not if a VM may act as its deputy, which only the other VMs could stop.
+// does not if a VM may act as its deputy, which only the other VMs could stop. It appoints
+// no deputy if a candidate may lead, because that one waits for nobody's grants.
 func (s *Service) handOver(ctx context.Context, l *leadership, candidates []fleet.VM, why string) {
 	c, _ := s.view.Cell(l.service)
 	restored := s.view.IsCellRestored(l.service)
@@ -107,7 +109,7 @@
 	if restored {
 		args.Record = s.recordOf(l.service)
 	}
-	refused := true
+	refused := true // no candidate has written or will write a record
 	for _, vm := range candidates {
 		var reply TakeReply
 		err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Take", args, &reply)
@@ -118,10 +120,10 @@
 			s.logger.Info("handed the cell over to another VM", "service", l.service, "to", vm.ID, "why", why)
 			return
 		}
-		refused = refused && err == nil && reply.Refused != ""
+		refused = refused && (notCalled(err) || err == nil && reply.Refused != "")
 		s.logger.Info("VM did not take over the cell", "service", l.service, "vm", vm.ID, "refused", reply.Refused, "error", err)
 	}
-	if s.retiring.Load() {
+	if s.retiring.Load() && refused {
 		switch acts, allRefused := s.appointDeputy(ctx, l); {
 		case acts:
 			return
@@ -131,7 +133,7 @@
 		}
 	}
 	if refused {
-		l.handoverStarted.Store(false) // no candidate has written or will write a record
+		l.handoverStarted.Store(false)
 		return
 	}
 	if s.retiring.Load() {
@@ -141,6 +143,12 @@
 	go l.reclaim(s.ctx, c)
 }
 
+// notCalled reports whether the error of a call tells that it certainly did not reach the VM.
+func notCalled(err error) bool {
+	var failed *peer.CallError
+	return errors.As(err, &failed) && !failed.MayHaveRun
+}
+
 // firstReachingStore returns the first candidate that reaches the store as a slice
 // of one, or nil.
 func (s *Service) firstReachingStore(ctx context.Context, candidates []fleet.VM) []fleet.VM {
