Support told in an earlier round or for an earlier leader is waited for

Cause: each round of questions replaced the longest support of which VMs had told, while votes of earlier rounds counted, and a VM forgot the support given to one leader's deputy when it supported another leader. A claimant could count on the end of a deputy's grants up to a second early.

Change: the end of support is kept for each VM's vote, later answers do not shorten it, and it is stretched by the error of two clocks. VMs remember the support that they gave in the name of each leader until it has expired.

--- a/core/support/support.go
+++ b/core/support/support.go
@@ -15,7 +15,10 @@
 // includes the time for which the machine was suspended.
 package support
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// Lease is how long a VM's support lasts. The VM counts it from its reply, the
@@ -43,13 +46,18 @@
 // Invariant: at any time at most one process that acts for a leader and has not stopped in
 // favour of another one may count on the support.
 type Follower struct {
-	supported Grantor       // supported last
-	until     time.Duration // end of that support
+	promises map[string]promise // by leader: the support given last in its name
 	// released holds the leaders that were released, each with the deputy that may still be
 	// supported, "" for none.
 	released map[string]string
 }
 
+// promise is support that a VM has given.
+type promise struct {
+	deputy string // "" for the leader itself
+	until  time.Duration
+}
+
 // GrantSupport gives the VM's support to a grantor for one Lease and reports whether it
 // did. isLeader tells whether the latest record of the cell that the VM knows names the
 // grantor's leader. A grantor that was released gets no support, nor does one while
@@ -58,7 +66,11 @@
 	if !isLeader || !f.MaySupport(now, g) {
 		return false
 	}
-	f.supported, f.until = g, now+Lease
+	maps.DeleteFunc(f.promises, func(_ string, p promise) bool { return now >= p.until })
+	if f.promises == nil {
+		f.promises = map[string]promise{}
+	}
+	f.promises[g.Leader] = promise{g.Deputy, now + Lease}
 	return true
 }
 
@@ -67,8 +79,8 @@
 	if except, released := f.released[g.Leader]; released && (except == "" || except != g.Deputy) {
 		return false
 	}
-	s := f.supported
-	return s.Leader != g.Leader || s.Deputy == g.Deputy || s.Deputy == g.Follows || now >= f.until
+	p, promised := f.promises[g.Leader]
+	return !promised || p.deputy == g.Deputy || p.deputy == g.Follows || now >= p.until
 }
 
 // Release makes the VM refuse any further support for a leader and its deputies, except
@@ -83,10 +95,11 @@
 		except = ""
 	}
 	f.released[leader] = except
-	if f.supported.Leader != leader || except != "" && f.supported.Deputy == except {
+	p := f.promises[leader]
+	if except != "" && p.deputy == except {
 		return 0
 	}
-	return max(0, f.until-now)
+	return max(0, p.until-now)
 }
 
 // GrantBound returns for how long the grantors of the previous leader's record may still
@@ -98,7 +111,7 @@
 	if !majority {
 		return MaxExtension
 	}
-	return max(left, leaderLease)
+	return max(0, left, leaderLease)
 }
 
 // Leader counts the support that one grantor has received. The zero value is a leader
--- a/core/support/support_test.go
+++ b/core/support/support_test.go
@@ -186,3 +186,13 @@
 	assert.False(t, f.GrantSupport(200*ms+Lease, b, true), "released by the other deputy")
 	assert.False(t, f.GrantSupport(200*ms+Lease, c, true), "the first one's claim may still be written")
 }
+
+// Guards against a claimant that does not wait for support which a VM gave to an earlier
+// leader's deputy before it supported the claimant itself.
+func TestReleaseTellsOfEarlierLeader(t *testing.T) {
+	var f Follower
+	require.True(t, f.GrantSupport(0, Grantor{Leader: "a", Deputy: "b"}, true))
+	require.True(t, f.GrantSupport(400*ms, Grantor{Leader: "c"}, true))
+	assert.Equal(t, 500*ms, f.Release(500*ms, "a", ""))
+	assert.Equal(t, 900*ms, f.Release(500*ms, "c", ""))
+}
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -217,8 +217,9 @@
 type releaseVotes struct {
 	service string
 	record  *fleet.Cell
-	left    time.Duration     // longest time for which earlier support may still last
-	boots   map[string]string // Boot of the process that released the leader, by VM
+	// ends holds, by VM, until when support that it gave before its release may last.
+	ends  map[string]time.Duration
+	boots map[string]string // Boot of the process that released the leader, by VM
 	// restored tells that a restored store may have lost later records of the cell.
 	restored bool
 	// deputy is the process of this VM if it claims the cell as deputy of the leader, and
@@ -240,14 +241,14 @@
 	if c == nil {
 		c = &fleet.Cell{Service: service}
 	}
-	return &releaseVotes{service: service, record: c, boots: map[string]string{}}
+	return &releaseVotes{service: service, record: c, ends: map[string]time.Duration{}, boots: map[string]string{}}
 }
 
 func (s *Service) requestReleases(ctx context.Context, r *releaseVotes) (ok bool) {
 	args := SupportArgs{Service: r.service, Leader: r.record.Leader, Boot: r.record.Boot, Change: r.record.Change, Deputy: r.deputy, Follows: r.follows,
 		Claimant: s.self.ID, ClaimantBoot: s.self.Boot, AfterRestore: r.restored}
 	ok = true
-	r.left = s.releaseSupport(args)
+	r.noteEnd(s.self.ID, s.clock.Now()+s.releaseSupport(args))
 	asked := s.others("")
 	if !s.leaderEnded(r) {
 		asked = s.others(r.record.Leader)
@@ -265,7 +266,7 @@
 			return
 		}
 		r.boots[vm.ID] = reply.Boot
-		r.left = max(r.left, reply.Left)
+		r.noteEnd(vm.ID, s.clock.Now()+time.Duration(float64(reply.Left)*(1+2*support.ClockError)))
 		if s.leaseOfLeader(r) == 0 && s.countReleases(r) >= support.Majority(len(s.view.VMs())) {
 			cancel() // the leader itself does not answer, and VMs that are lost delay the claim
 		}
@@ -300,7 +301,20 @@
 // grantBound returns for how long the previous leader and its deputies may still grant keys
 // after the record of the new leader is written.
 func (s *Service) grantBound(r *releaseVotes) time.Duration {
-	return support.GrantBound(s.hasMajority(r), r.left, s.leaseOfLeader(r))
+	return support.GrantBound(s.hasMajority(r), r.supportEnd()-s.clock.Now(), s.leaseOfLeader(r))
+}
+
+// noteEnd records until when support that a VM gave before its release may last. Later
+// answers do not shorten it.
+func (r *releaseVotes) noteEnd(vm string, end time.Duration) { r.ends[vm] = max(r.ends[vm], end) }
+
+// supportEnd returns until when support may last that a VM gave before its release.
+func (r *releaseVotes) supportEnd() time.Duration {
+	var end time.Duration
+	for _, e := range r.ends {
+		end = max(end, e)
+	}
+	return end
 }
 
 // leaseOfLeader returns for how long the previous leader may grant keys by the store's word
@@ -337,7 +351,6 @@
 // are not granted to others, and no keys are moved to balance the load.
 func (l *leadership) watchPreviousLeader(r *releaseVotes) {
 	began, majority := l.now(), l.s.hasMajority(r)
-	releasedUntil := began + r.left // end of the support that the majority gave before
 	ended := l.s.leaseOfLeader(r) == 0
 	for l.previousGrantsLeft() > 0 && !(majority && ended) {
 		select {
@@ -350,11 +363,10 @@
 			if majority = l.s.hasMajority(r); !majority {
 				continue
 			}
-			releasedUntil = l.now() + r.left
-			l.lowerPriorManagerHoldBound(r, max(began+l.s.leaseOfLeader(r), releasedUntil), "a majority of the VMs has released the previous leader")
+			l.lowerPriorManagerHoldBound(r, max(began+l.s.leaseOfLeader(r), r.supportEnd()), "a majority of the VMs has released the previous leader")
 		}
 		if ended = l.s.leaseOfLeader(r) == 0; ended {
-			l.lowerPriorManagerHoldBound(r, max(l.now(), releasedUntil), "the previous leader's process has ended, and a majority of the VMs has released it")
+			l.lowerPriorManagerHoldBound(r, max(l.now(), r.supportEnd()), "the previous leader's process has ended, and a majority of the VMs has released it")
 		}
 	}
 }
--- a/node/cell/support_test.go
+++ b/node/cell/support_test.go
@@ -161,3 +161,40 @@
 	vm.noteHeard(silent.ID, silent.Boot, silent.PeerAddress)
 	require.True(t, heard())
 }
+
+// Guards against a bound on earlier grants that forgets the support of which a VM told in an
+// earlier round of questions, although its vote of that round counts.
+func TestSupportToldInEarlierRoundIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 4)
+	time.Sleep(support.Lease)
+	claimant, a, b := others[0], others[1], others[2]
+	reach := func(vm *testVM, address string) {
+		self := vm.self
+		if address != "" {
+			self.PeerAddress = address
+		}
+		_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(vm.self.ID), VM: &self}, view.AnyOffset)
+		require.NoError(t, err)
+		require.NoError(t, claimant.readSystem(context.Background()))
+	}
+	c, _ := leader.view.Cell("s")
+	reach(b, "127.0.0.1:1")
+	r := newReleaseVotes("s", c)
+	r.deputy = claimant.process()
+	var supported SupportReply
+	require.NoError(t, (&handler{a.Service}).Support(SupportArgs{Service: "s", Leader: c.Leader, Boot: c.Boot, Change: c.Change, Deputy: "another"}, &supported))
+	require.True(t, supported.Supports)
+	claimant.requestReleases(t.Context(), r)
+	require.Greater(t, r.supportEnd()-claimant.clock.Now(), support.Lease/2)
+	reach(a, "127.0.0.1:1")
+	reach(b, "")
+	claimant.requestReleases(t.Context(), r)
+	require.True(t, claimant.hasMajority(r))
+	a.mu.Lock()
+	left := a.follower("s").Release(a.clock.Now(), c.Leader+c.Boot, "")
+	a.mu.Unlock()
+	require.Greater(t, left, support.Lease/4)
+	assert.GreaterOrEqual(t, claimant.grantBound(r), left, "the other deputy may count on this VM's support for longer")
+}
