After a restore the successor of a deputy waits for leaders that it does not know

Cause: a VM that takes over from a deputy counts on no lease of the leader, which has stopped. After a restore of the store there may have been a later leader whose record is lost, for which the earlier code waited.

Change: the leader's lease counts whenever records may be lost.

--- a/node/cell/restore_test.go
+++ b/node/cell/restore_test.go
@@ -161,3 +161,16 @@
 	assert.Equal(t, leader.self.ID, slot.DecidedBy)
 	others[0].Return(slot, lending.Usage{Result: lending.Answered, Took: time.Millisecond})
 }
+
+// Guards against two holders of a key after a restore: a VM that takes over from a deputy
+// without a lease counted on no lease of leaders whose records are lost.
+func TestSuccessorOfDeputyAfterRestoreWaitsForUnknownLeaders(t *testing.T) {
+	t.Parallel()
+	leader, others := startLeader(t, &memoryStore{}, 3)
+	time.Sleep(2 * support.Lease)
+	c, _ := others[0].view.Cell("s")
+	r := newReleaseVotes("s", c)
+	r.follows, r.restored = leader.process(), true // as take sets them; here all VMs release it
+	others[0].requestReleases(t.Context(), r)
+	assert.GreaterOrEqual(t, others[0].grantBound(r), leaderLease)
+}
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -319,9 +319,10 @@
 
 // leaseOfLeader returns for how long the previous leader may grant keys by the store's word
 // after the record of the new leader is written: not at all if it has stopped in favour of
-// its deputy, or its process has ended.
+// its deputy, or its process has ended. After a restore of the store there may have been a
+// later leader whose record is lost.
 func (s *Service) leaseOfLeader(r *releaseVotes) time.Duration {
-	if r.deputy != "" || r.follows != "" || s.leaderEnded(r) {
+	if !r.restored && (r.deputy != "" || r.follows != "" || s.leaderEnded(r)) {
 		return 0
 	}
 	return leaderLease
