A claimant's wait follows the record that its claim replaced

Cause: once the VMs had released the previous leader, a claimant lowered its wait by the hold and the earlier grants of the record that it had seen when it decided to claim. The leader may have written another one since, which tells of grants of earlier leaders.

Change: the votes of a claim are on the record that the claim replaces.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -112,6 +112,9 @@
 	// grantBound returns, once the claim is written, for how long previous leaders may
 	// still grant keys.
 	grantBound func() time.Duration
+	// votes are those that grantBound counts, or nil. They are on the leader of the record
+	// that the claim replaces, which may have been written since.
+	votes *releaseVotes
 	// continuous tells that the leader named in the record held its lease until it gave
 	// way to the claimant, so that no later record of another leader can be lost.
 	continuous bool
@@ -141,6 +144,9 @@
 	if !s.view.IsRegistered(s.self) {
 		return errNotRegistered
 	}
+	if p.votes != nil && current != nil {
+		p.votes.record = current
+	}
 	hold := current.GrantHold()
 	if recordsLost {
 		hold = fleet.LongestHold
--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -196,7 +196,8 @@
 	r := newReleaseVotes(l.service, l.deputyFor)
 	r.deputy = l.deputyProcess()
 	l.s.requestReleases(ctx, r)
-	p := succession{grantBound: func() time.Duration { return l.s.grantBound(r) }, continuous: l.holdsLease()}
+	p := l.s.successionBy(r)
+	p.continuous = l.holdsLease()
 	if err := l.s.claim(ctx, svc, l.deputyFor, p); err != nil {
 		l.logger.Info("could not claim the cell", "error", err)
 		return
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -355,7 +355,7 @@
 	r := newReleaseVotes(svc.Name, c)
 	r.follows, r.restored = a.Deputy, p.afterRestore
 	s.requestReleases(ctx, r)
-	p.grantBound = func() time.Duration { return s.grantBound(r) }
+	p.grantBound, p.votes = s.successionBy(r).grantBound, r
 	if err := s.claim(ctx, svc, c, p); err != nil {
 		return err
 	}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -216,7 +216,8 @@
 		if r, ok = s.releaseLeader(s.ctx, svc.Name, seen, restored); !ok {
 			return
 		}
-		p = succession{grantBound: func() time.Duration { return s.grantBound(r) }, afterRestore: restored}
+		p = s.successionBy(r)
+		p.afterRestore = restored
 	}
 	if err := s.claim(s.ctx, svc, seen, p); err != nil {
 		s.logger.Info("could not claim the cell", "service", svc.Name, "error", err)
--- a/node/cell/succession_test.go
+++ b/node/cell/succession_test.go
@@ -347,6 +347,31 @@
 	assert.Equal(t, records, store.cellRecords())
 }
 
+// Guards against two holders of a key: the previous leader wrote another record before the
+// claim, which tells of grants of earlier leaders, and the claimant lowered its wait by the
+// record that it had seen before.
+func TestClaimantWaitsForGrantsThatTheReplacedRecordTellsOf(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	time.Sleep(support.Lease)
+	others[0].retiring.Store(true) // it claims only below
+	others[1].retiring.Store(true)
+	leader.stop()
+	time.Sleep(2 * leaderTimeout)
+	seen, _ := others[0].view.Cell("s")
+	r, released := others[0].releaseLeader(t.Context(), "s", seen, false)
+	require.True(t, released)
+	later := *seen
+	later.Change, later.EarlierGrants = seen.Change+1, support.MaxExtension
+	_, err := store.Append(context.Background(), view.Change{Key: view.CellKey("s"), Cell: &later}, view.AnyOffset)
+	require.NoError(t, err)
+	require.NoError(t, others[0].claim(t.Context(), fleet.Service{Name: "s", Keyed: true}, seen, others[0].successionBy(r)))
+	l := others[0].leadershipOf("s")
+	l.lowerPriorManagerHoldBound(r, l.now(), "a test")
+	assert.Greater(t, l.previousGrantsLeft(), support.MaxExtension-time.Second)
+}
+
 // hookedStore runs a function once before the next append of a cell's record.
 type hookedStore struct {
 	*memoryStore
--- a/node/cell/support.go
+++ b/node/cell/support.go
@@ -287,6 +287,11 @@
 	return false
 }
 
+// successionBy returns a succession whose bound counts the given votes.
+func (s *Service) successionBy(r *releaseVotes) succession {
+	return succession{grantBound: func() time.Duration { return s.grantBound(r) }, votes: r}
+}
+
 // countReleases returns how many VMs have released the leader, as hasMajority counts them.
 func (s *Service) countReleases(r *releaseVotes) int {
 	n := 1 // this VM
