--- a/cmd/soak/sick_test.go
+++ b/cmd/soak/sick_test.go
@@ -128,6 +128,9 @@
 	`{"service":"desk","address":"127.0.0.1","zone":"z-a","slots":3,"state":"ready"}`,
 	`{"service":"desk","address":"::::","zone":"","slots":3,"state":"ready"}`,
 	`{"service":"` + strings.Repeat("s", 200<<10) + `","address":"127.0.0.1:9","zone":"z-a","slots":3,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"z-a","version":"v1","slots":9223372036854775807,"state":"ready","warmupLeftS":1e308,"sequence":1,"born":9223372036854775807}`,
+	`{"service":"board","address":"127.0.0.1:65536","zone":"z-a","version":"v1","slots":3,"state":"ready","warmupLeftS":0,"sequence":1,"born":1}`,
+	`{"service":"desk","address":"::::","zone":"","version":"v1","slots":3,"state":"ready","warmupLeftS":0,"sequence":1,"born":1}`,
 	`[]`, `null`, `0`, `""`, "\xff\xfe\x00", "{", `{"service":null}`,
 }
 
