A leader that may have a deputy does not begin anew

Cause: an append of a leader that has stopped may be carried out late. Its record names the leader under another change than the one that the deputy stands in for, so that the leader, which knew of no deputy for that record, began to lead again while VMs that did not know it supported the deputy.

Change: a VM that may have a deputy for a cell begins to lead it by no record that it wrote before.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -57,6 +57,8 @@
 	l.mu.Unlock()
 	c, _ := s.view.Cell(l.service)
 	refused = true
+	s.setResigned(l.service, true)
+	defer func() { s.setResigned(l.service, !refused) }()
 	for _, vm := range s.leaderCandidates(l.service) {
 		if ctx.Err() != nil {
 			break // the others are not asked
@@ -73,6 +75,12 @@
 	return false, refused
 }
 
+func (s *Service) setResigned(service string, resigned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resigned[service] = resigned
+}
+
 // Act makes this VM the deputy of the calling leader.
 func (h *handler) Act(a ActArgs, reply *ActReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Act")
--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -364,3 +364,23 @@
 		assert.True(t, vm == next || len(calls[vm].taken()) == 0, "%s grants keys beside the new leader", vm.self.ID)
 	}
 }
+
+// Guards against a leader that begins anew beside its deputy: a record that it wrote before
+// it stopped is carried out late, and names it under another change than the deputy's.
+func TestLeaderDoesNotBeginAnewByALateRecord(t *testing.T) {
+	t.Parallel()
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 3)
+	time.Sleep(support.Lease)
+	store.setDown(true)
+	time.Sleep(syncInterval)
+	leader.Retire(t.Context())
+	require.Eventually(t, func() bool { return len(leaders(others)) == 1 && leader.leadershipOf("s") == nil }, 2*time.Second, 5*time.Millisecond)
+	record, _ := leader.view.Cell("s")
+	late := *record
+	late.Change++
+	end := leader.view.End(view.System)
+	leader.view.Apply(view.System, []view.Change{{Log: view.System, Key: view.CellKey("s"), Cell: &late, Offset: end}}, end+1, leader.clock.Now())
+	time.Sleep(3 * reconcileInterval)
+	assert.Nil(t, leader.leadershipOf("s"))
+}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -89,6 +89,9 @@
 	// followers holds, by service, which leader this VM supports or has released.
 	followers map[string]*support.Follower
 	deputies  map[string]deputy // by service
+	// resigned holds the services for which this VM may have a deputy. It begins to lead
+	// none of them by a record that it wrote before, which the store may carry out late.
+	resigned map[string]bool
 }
 
 // Config holds the settings and dependencies of a Service.
@@ -114,7 +117,7 @@
 		localLends:  metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		leaderships: map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
 		lastHeard: map[string]time.Duration{}, silentSince: map[string]time.Duration{}, lastSeenCell: map[string]*fleet.Cell{},
-		learnedFromLeader: map[string]lending.Learned{}, followers: map[string]*support.Follower{}, deputies: map[string]deputy{},
+		learnedFromLeader: map[string]lending.Learned{}, followers: map[string]*support.Follower{}, deputies: map[string]deputy{}, resigned: map[string]bool{},
 	}
 	s.ctx, s.cancelAll = context.WithCancel(context.Background())
 	return s, c.Server.Register(RPCName, &handler{s})
@@ -178,7 +181,7 @@
 	mine := c != nil && c.Leader == s.self.ID && c.Boot == s.self.Boot
 	s.mu.Lock()
 	l, leading := s.leaderships[svc.Name]
-	busy := s.claiming[svc.Name]
+	busy, resigned := s.claiming[svc.Name], s.resigned[svc.Name]
 	s.mu.Unlock()
 	restored := s.view.IsCellRestored(svc.Name)
 	switch {
@@ -189,7 +192,7 @@
 	case leading && restored && l.keys != nil && !l.holdsLease():
 		s.stopLeading(svc.Name, l, "the store was restored after the lease had ended")
 	case leading || busy:
-	case mine && !restored && !s.hasDeputy(svc.Name, c):
+	case mine && !restored && !resigned && !s.hasDeputy(svc.Name, c):
 		s.startLeading(svc.Name, s.inherit(svc, maxHoldAfterLease(fleet.LongestHold)), number)
 	case !s.retiring.Load() && s.shouldClaim(svc.Name, c):
 		s.mu.Lock()
