A call to act without a record is an error again

Cause: since a VM says in its answer that it refuses to be deputy, a malformed call was refused like that too; TestMalformedCallsDoNotEndTheProcess failed in a run of node/cell with the race detector.

Change: a call without a record is an error, as before. Result: that test passes.

--- a/node/cell/deputy.go
+++ b/node/cell/deputy.go
@@ -85,6 +85,9 @@
 func (h *handler) Act(a ActArgs, reply *ActReply) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Act")
 	s := h.s
+	if len(a.Record) == 0 {
+		return errors.Errorf("act for the leader of the cell of %q: the call has no record", a.Service)
+	}
 	if err := s.view.Learn(a.Record); err != nil {
 		reply.Refused = err.Error()
 		return nil
@@ -108,7 +111,7 @@
 func (s *Service) prepareAct(a ActArgs) (svc fleet.Service, c *fleet.Cell, number int64, err error) {
 	cfg, _ := s.view.Config()
 	c, number = s.view.Cell(a.Service)
-	if s.retiring.Load() || cfg == nil || c == nil || len(a.Record) == 0 || a.Record[0].Offset != view.Offset(number) {
+	if s.retiring.Load() || cfg == nil || c == nil || a.Record[0].Offset != view.Offset(number) {
 		return svc, nil, 0, errors.New("the VM cannot be deputy: it is shutting down, has no configuration, or knows another record than the one sent")
 	}
 	svc, ok := cfg.Service(a.Service)
