A request that is given up ends with its connection, not with a success

Cause: net/http writes it for a handler that returns without an answer, as the gateway does for a caller whose side has ended.

Change: such a connection is aborted, at whichever return of the handler.

Result: TestHalfClosedCallerGetsNoSuccessThatNoTargetGave failed before in all cases of requests that are given up, with "200 OK"; it passes with go test ./node/gateway.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -138,6 +138,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{g: g, w: w, r: r, arrived: g.clock.Now()}
+	defer q.abortWithoutAnswer()
 	defer g.guard.RecoverThen(q.answerAfterPanic, "serve a request", "method", r.Method, "path", r.URL.Path)
 	meta, err := g.codec.Request(r.Header)
 	q.Meta = meta
@@ -159,6 +160,14 @@
 	}
 }
 
+// abortWithoutAnswer closes the connection of a request that was given up without an answer,
+// because net/http would write "200 OK": a caller that has ended its side may still read.
+func (q *request) abortWithoutAnswer() {
+	if !q.answering {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // beginStop makes every answer close its connection, and refuses the requests that may
 // still be in progress after the given time.
 func (g *Gateway) beginStop(within time.Duration) {
