A VM that was asked to lead replaces only the record that it was asked for

Cause: Take compared the record that the VM knew with the one of the call, and the claim then read the log again and compared the leader only. The leader, which had not got the answer, may have gone on by a new record of its own, and the VM replaced that without waiting for the leader's lease.

Change: a claim by word of a leader fails if any other record is the newest.

--- a/node/cell/claim.go
+++ b/node/cell/claim.go
@@ -115,6 +115,9 @@
 	// votes are those that grantBound counts, or nil. They are on the leader of the record
 	// that the claim replaces, which may have been written since.
 	votes *releaseVotes
+	// exactRecord tells that the claim is by word of the leader that the record names, which
+	// may go on by a later record of its own.
+	exactRecord bool
 	// continuous tells that the leader named in the record held its lease until it gave
 	// way to the claimant, so that no later record of another leader can be lost.
 	continuous bool
@@ -134,7 +137,7 @@
 		return errors.Wrap(err, "read the system's log before claiming a cell")
 	}
 	current, currentNumber := s.view.Cell(svc.Name)
-	if !sameLeader(current, seen) {
+	if !sameLeader(current, seen) || p.exactRecord && !sameRecord(current, seen) {
 		return errCellChanged
 	}
 	recordsLost := s.view.IsCellRestored(svc.Name) && !p.continuous
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -349,6 +349,7 @@
 	if !a.HoldsLease && s.view.IsCellRestored(svc.Name) {
 		p = succession{grantBound: fixedBound(support.MaxExtension), afterRestore: true}
 	}
+	p.exactRecord = true
 	if a.Deputy == "" {
 		return s.claim(ctx, svc, c, p)
 	}
--- a/node/cell/handover_test.go
+++ b/node/cell/handover_test.go
@@ -261,3 +261,21 @@
 	defer calls.mu.Unlock()
 	assert.GreaterOrEqual(t, calls.firstToNew.Sub(calls.lastToOld), fleet.ShortestHold)
 }
+
+// Guards against two leaders: a VM that was asked to lead replaced a later record, by which
+// the leader that had asked goes on because it did not get the answer.
+func TestTakeDoesNotReplaceALaterRecordOfTheLeader(t *testing.T) {
+	store := &memoryStore{}
+	leader, others := startLeader(t, store, 2)
+	asked := others[0]
+	asked.retiring.Store(true) // it claims only below
+	seen, _ := asked.view.Cell("s")
+	later := *seen
+	later.Change++
+	_, err := store.Append(context.Background(), view.Change{Key: view.CellKey("s"), Cell: &later}, view.AnyOffset)
+	require.NoError(t, err)
+	err = asked.take(t.Context(), fleet.Service{Name: "s", Keyed: true}, TakeArgs{Service: "s", Change: seen.Change, HoldsLease: true})
+	require.ErrorIs(t, err, errCellChanged)
+	c, _ := asked.view.Cell("s")
+	assert.Equal(t, leader.self.ID, c.Leader)
+}
