Soak: the store can refuse single VMs

Cause: store.Faults.RejectIPs tells VMs apart by their addresses, but in the soak all VMs reach the store through a proxy, which dialled from 127.0.0.1: no fault could let the store refuse all VMs but one.

Change: faultproxy.Config.FromClientIP dials the upstream from the client's IP address; the soak's fleet sets it.

--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -90,7 +90,7 @@
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	var err error
-	f.storeProxy, err = faultproxy.New(faultproxy.Config{Upstream: strings.TrimPrefix(server.URL, "http://")})
+	f.storeProxy, err = faultproxy.New(faultproxy.Config{Upstream: strings.TrimPrefix(server.URL, "http://"), FromClientIP: true})
 	require.NoError(t, err)
 	t.Cleanup(f.storeProxy.Close)
 	f.configure()
--- a/standin/faultproxy/pair.go
+++ b/standin/faultproxy/pair.go
@@ -106,6 +106,9 @@
 	c.proxy.mu.Unlock()
 	time.Sleep(connect)
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.proxy.fromClientIP {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.clientIP)}
+	}
 	conn, err := dialer.DialContext(c.proxy.ctx, "tcp", c.proxy.upstream)
 	if err != nil {
 		reset(c.client)
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -23,6 +23,9 @@
 type Config struct {
 	Listen   string // host:port; empty means a free port on 127.0.0.1
 	Upstream string // host:port
+	// FromClientIP lets the upstream tell clients apart: it is dialled from the
+	// client's IP address, which has to be one of this machine.
+	FromClientIP bool
 	// Delivered, if set, is called with the bytes for the upstream immediately
 	// before they are written, concurrently for different connections. It must
 	// not retain the slice.
@@ -56,12 +59,13 @@
 
 // Proxy forwards connections from one address to another.
 type Proxy struct {
-	upstream  string
-	delivered func([]byte)
-	addr      string
-	ctx       context.Context
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	upstream     string
+	fromClientIP bool
+	delivered    func([]byte)
+	addr         string
+	ctx          context.Context
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
 
 	mu             sync.Mutex
 	listener       net.Listener // nil while connections are refused
@@ -108,7 +112,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	p := &Proxy{upstream: cfg.Upstream, delivered: cfg.Delivered, addr: listener.Addr().String(), listener: listener,
+	p := &Proxy{upstream: cfg.Upstream, fromClientIP: cfg.FromClientIP, delivered: cfg.Delivered, addr: listener.Addr().String(), listener: listener,
 		changed: make(chan struct{}), pairs: map[*connPair]bool{}, clientSettings: map[string][2]Settings{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.wg.Go(func() { p.acceptLoop(listener) })
--- a/standin/faultproxy/proxy_test.go
+++ b/standin/faultproxy/proxy_test.go
@@ -156,3 +156,23 @@
 	require.EqualValues(t, 4, up)
 	require.EqualValues(t, 4, down)
 }
+
+// Guards against an upstream that cannot tell clients apart behind the proxy: faults for
+// one client would then hit all clients or none.
+func TestUpstreamSeesClientIP(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	p, err := New(Config{Upstream: l.Addr().String(), FromClientIP: true})
+	require.NoError(t, err)
+	defer p.Close()
+	client := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 9, 9, 9)}}
+	conn, err := client.Dial("tcp", p.Addr())
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, l.(*net.TCPListener).SetDeadline(time.Now().Add(longTimeout)))
+	seen, err := l.Accept()
+	require.NoError(t, err)
+	defer seen.Close()
+	require.Equal(t, "127.9.9.9", seen.RemoteAddr().(*net.TCPAddr).IP.String())
+}
