--- a/cmd/soak/handover_test.go
+++ b/cmd/soak/handover_test.go
@@ -33,25 +33,40 @@
 	return f
 }
 
-// leaderOf returns the VM that has begun to lead a service with the newest record.
-func (f *fleet) leaderOf(service string) *vm {
-	var leader *vm
-	newest := int64(-1)
+// logLine is a line of a VM's log.
+type logLine struct {
+	Time    string `json:"@timestamp"`
+	Message string `json:"@message"`
+	Service string `json:"service"`
+	Number  int64  `json:"number"`
+	Acts    bool   `json:"acts"`
+}
+
+// eachLeadership calls visit for each log line that tells that a VM begins to lead a cell.
+func (f *fleet) eachLeadership(visit func(*vm, logLine)) {
 	for _, v := range f.vms {
 		log, err := os.Open(v.log)
 		require.NoError(f.t, err)
 		for lines := bufio.NewScanner(log); lines.Scan(); {
-			var line struct {
-				Message string `json:"@message"`
-				Service string `json:"service"`
-				Number  int64  `json:"number"`
-			}
-			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Message == "leads a cell" && line.Service == service && line.Number > newest {
-				leader, newest = v, line.Number
+			var line logLine
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Message == "leads a cell" {
+				visit(v, line)
 			}
 		}
 		log.Close()
 	}
+}
+
+// leaderOf returns the VM that has begun to lead a service with the newest record: the
+// last of its deputies, if it has some.
+func (f *fleet) leaderOf(service string) *vm {
+	var leader *vm
+	newest := logLine{Number: -1}
+	f.eachLeadership(func(v *vm, line logLine) {
+		if line.Service == service && (line.Number > newest.Number || line.Number == newest.Number && line.Time > newest.Time) {
+			leader, newest = v, line
+		}
+	})
 	return leader
 }
 
--- a/cmd/soak/restart_test.go
+++ b/cmd/soak/restart_test.go
@@ -39,17 +39,7 @@
 		}
 	})
 	fi.run(faultDuration)
-	time.Sleep(recoveryLimit)
-	load.begin()
-	time.Sleep(2 * time.Second)
-	served, total := load.end()
-	stop()
-	for _, p := range f.checker.violations {
-		t.Error(p)
-	}
-	if served*10 < total*9 || total == 0 {
-		t.Errorf("%d of %d requests were served %s after the last fault", served, total, recoveryLimit)
-	}
+	load.checkRecovery(t, stop)
 	t.Logf("seed %d: %d requests, %d restarts of targets beside %v", seed, load.count.Load(), restarts, fi.injected)
 	if t.Failed() {
 		keepLogs(t, f, seed)
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -176,6 +176,22 @@
 func (l *load) begin()            { l.measuring.Store(true) }
 func (l *load) end() (s, n int64) { l.measuring.Store(false); return l.served.Load(), l.total.Load() }
 
+// checkRecovery measures the load recoveryLimit after the last fault, ends it, and
+// reports what is wrong.
+func (l *load) checkRecovery(t *testing.T, stop func()) {
+	time.Sleep(recoveryLimit)
+	l.begin()
+	time.Sleep(2 * time.Second)
+	served, total := l.end()
+	stop()
+	for _, p := range l.f.checker.violations {
+		t.Error(p)
+	}
+	if served*10 < total*9 || total == 0 {
+		t.Errorf("%d of %d requests were served %s after the last fault", served, total, recoveryLimit)
+	}
+}
+
 // call sends requests over a persistent connection until ctx ends. After a failure
 // it continues with a random VM, as a load balancer would.
 func (l *load) call(ctx context.Context, rng *rand.Rand, caller int) {
