The test of a deputy without support starts from one that has it

Cause: VMs younger than a lease support no deputy, so the deputy of TestDeputyStopsWithoutSupport never had a lease, and the test passed without showing that it loses one.

Change: the VMs are old enough, and the deputy may grant before its supporters stop.

--- a/node/cell/deputy_test.go
+++ b/node/cell/deputy_test.go
@@ -56,12 +56,14 @@
 func TestDeputyStopsWithoutSupport(t *testing.T) {
 	store := &memoryStore{}
 	leader, others := startLeader(t, store, 3)
+	time.Sleep(support.Lease)
 	store.setDown(true)
 	leader.Retire(context.Background())
 	leader.stop()
 	require.Eventually(t, func() bool { return len(leaders(others)) == 1 }, 2*time.Second, 5*time.Millisecond)
 	deputyVM := leaders(others)[0]
 	l := deputyVM.leadershipOf("s")
+	require.Eventually(t, func() bool { return l.mayGrant() == nil }, time.Second, 5*time.Millisecond)
 	for _, vm := range others {
 		if vm != deputyVM {
 			vm.stop()
