The soak of deputies has one whatever the seed

Change: before its drawn outages a leader of keys stops while the store refuses all VMs. The check stays.

--- a/cmd/soak/deputy_test.go
+++ b/cmd/soak/deputy_test.go
@@ -41,6 +41,7 @@
 	f.checker.drainBoundLifted = fi.drainBoundLifted
 	require.Eventually(t, func() bool { return f.leaderOf(keyedService) != nil }, 5*time.Second, 50*time.Millisecond, "nobody leads the service")
 	load, stop := startLoad(f, seed)
+	fi.withDrainBoundLifted(fi.plannedStopInOutage)
 	for range outages {
 		fi.withDrainBoundLifted(fi.outage)
 		time.Sleep(fi.between(300*time.Millisecond, 1500*time.Millisecond))
@@ -63,6 +64,22 @@
 	return least + time.Duration(fi.rng.Int63n(int64(most-least)))
 }
 
+// plannedStopInOutage lets a leader of keys stop while the store refuses all VMs, so that it
+// needs a deputy whatever the seed.
+func (fi *faultInjector) plannedStopInOutage() {
+	f, refused := fi.f, map[string]bool{}
+	for _, v := range f.vms {
+		refused[v.ip] = true
+	}
+	f.store.SetFaults(store.Faults{RejectIPs: refused})
+	time.Sleep(500 * time.Millisecond) // until the VMs notice
+	v := f.leaderOf(keyedService)
+	fi.inject("stop "+v.name, func() { v.shutdown(syscall.SIGTERM); f.start(v) })
+	time.Sleep(1500 * time.Millisecond)
+	f.store.SetFaults(store.Faults{})
+	time.Sleep(time.Second)
+}
+
 // outage lets the store refuse all VMs, or all but one, while leaders end and keys move.
 func (fi *faultInjector) outage() {
 	f := fi.f
