Workspaces: keys of callers, priorities and revocation

Cause: requests on routes that need a key were passed on without a check, with the key and with whatever workspace the caller claimed. Change: the configuration's workspaces are decoded; the gateway checks keys on the VM that the caller reached, tells the target the workspace, never the key, lets a workspace's priority override the route's, and refuses keys once its configuration is older than nine tenths of the revocation time. The interface to allowances is in place; nothing implements it yet. A configuration without workspaces is served as before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -17,8 +17,27 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Workspaces are the customers whose callers identify themselves with keys. If
+	// there are none, requests need no key.
+	Workspaces []Workspace
 }
 
+// Workspace is a customer of the operators.
+type Workspace struct {
+	Name string
+	Keys []string // each authenticates callers as this workspace
+	// Priority overrides that of the route if HasPriority is set. A pointer would not do:
+	// VMs exchange configurations as gob, which drops a pointer to 0.
+	Priority    int
+	HasPriority bool
+	// Rate is the number of requests/s that all VMs together may run for the workspace,
+	// after a burst of up to Burst requests. 0 means no limit.
+	Rate, Burst float64
+}
+
+// Limited reports whether the workspace has an allowance.
+func (w *Workspace) Limited() bool { return w.Rate > 0 }
+
 // Limits are the limits on requests and connections of callers.
 type Limits struct {
 	HeaderBytes   int           // largest request header, in bytes
@@ -40,6 +59,8 @@
 	Attempts  int // largest number of targets that one request is sent to
 	Priority  int // 0 is the highest priority
 	Parts     []RoutePart
+	// Public routes need no key, also if the configuration has workspaces.
+	Public bool
 }
 
 // RoutePart is one of the services of a route. Requests are split over them in
@@ -110,14 +131,20 @@
 	return r.Parts[len(r.Parts)-1].Service
 }
 
-// Table is an index of routes by host, for configurations with many routes.
+// Table is an index of a configuration with many routes or workspaces.
 type Table struct {
 	byHost map[string][]*Route // longest prefix first
+	byKey  map[string]*Workspace
 }
 
-// NewTable indexes the routes of a configuration.
+// NewTable indexes the routes of a configuration by host and its workspaces by key.
 func NewTable(c *Config) *Table {
-	t := &Table{byHost: make(map[string][]*Route)}
+	t := &Table{byHost: make(map[string][]*Route), byKey: make(map[string]*Workspace)}
+	for i := range c.Workspaces {
+		for _, key := range c.Workspaces[i].Keys {
+			t.byKey[key] = &c.Workspaces[i]
+		}
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
@@ -128,6 +155,12 @@
 	return t
 }
 
+// Workspace returns the workspace that a key authenticates.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.byKey[key]
+	return w, ok
+}
+
 // Match returns the route of the host with the longest path prefix that matches.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[host] {
--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -53,9 +53,15 @@
 // refuse answers 503: the request was not run and will not be. The caller may
 // retry after retryAfter.
 func (q *request) refuse(reason string, retryAfter time.Duration) {
+	q.refuseWith(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
+// refuseWith is refuse with another status that promises the same.
+func (q *request) refuseWith(status int, reason string, retryAfter time.Duration) {
+	q.refundAllowance()
 	q.g.codec.Refuse(q.header(), q.Meta, retryAfter)
-	q.writeProblem(http.StatusServiceUnavailable, problem{"not-run", reason, q.ID})
-	q.recordEnd("refused: "+reason, http.StatusServiceUnavailable, "", nil)
+	q.writeProblem(status, problem{"not-run", reason, q.ID})
+	q.recordEnd("refused: "+reason, status, "", nil)
 }
 
 // reject answers a request that is sent to no target because it is invalid or
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -50,6 +50,12 @@
 	ID      string
 	Timeout time.Duration // how long the caller waits; 0 if it is not stated
 	Key     int           // lending.NoKey if the request has none
+	APIKey  string        // by which the caller identifies its workspace, or ""
+
+	// Identified is set by the gateway if the configuration has workspaces. Then the
+	// target gets the name of Workspace, whatever the caller sent, and never the API key.
+	Identified bool
+	Workspace  string // "" on public routes
 }
 
 // AnswerInfo is what an answer's status and header say about the attempt.
@@ -89,25 +95,31 @@
 	closing    atomic.Bool
 	inProgress requestSet
 	stats      *stats
+	workspaces workspaceCheck
 }
 
 // Config holds the dependencies of a Gateway.
 type Config struct {
-	VM       fleet.VM
-	Codec    HeaderCodec
-	View     *view.View
-	Cells    *cell.Service
-	Targets  *upstream.Client
-	Clock    *clock.Clock
-	Logger   hclog.Logger
-	Registry metrics.Registry
+	VM      fleet.VM
+	Codec   HeaderCodec
+	View    *view.View
+	Cells   *cell.Service
+	Targets *upstream.Client
+	Clock   *clock.Clock
+	// Allowances limits the requests of workspaces; nil means no limits.
+	Allowances Allowances
+	// Revocation is the time after which a removed key must not work any more; 0 means
+	// that there is no such time.
+	Revocation time.Duration
+	Logger     hclog.Logger
+	Registry   metrics.Registry
 }
 
 func New(c Config) *Gateway {
 	return &Gateway{
 		vm: c.VM.ID, dataCentre: c.VM.DataCentre, codec: c.Codec, view: c.View, cells: c.Cells, targets: c.Targets,
 		clock: c.Clock, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
-		inProgress: requestSet{requests: map[*request]struct{}{}},
+		inProgress: requestSet{requests: map[*request]struct{}{}}, workspaces: newWorkspaceCheck(c),
 	}
 }
 
@@ -122,6 +134,9 @@
 	end, endWait  context.CancelCauseFunc // of ctx and waitCtx
 	route         *fleet.Route
 	configVersion int64
+	priority      int
+	allowance     string // workspace with a limit, or ""
+	taken         bool   // the request was taken from that allowance
 	service       string
 	keyed         bool
 	body          []byte
@@ -142,6 +157,8 @@
 	defer g.guard.RecoverThen(q.answerAfterPanic, "serve a request", "method", r.Method, "path", r.URL.Path)
 	meta, err := g.codec.Request(r.Header)
 	q.Meta = meta
+	// The age is read first, so that the configuration is at least as new as it tells.
+	configAge := g.view.Staleness(view.Operators)
 	cfg, table := g.view.Config()
 	switch {
 	case err != nil:
@@ -155,8 +172,10 @@
 			q.reject(http.StatusNotFound, "no route for the host and path")
 			return
 		}
-		q.route = route
-		q.serve(cfg)
+		q.route, q.priority = route, route.Priority
+		if q.identify(cfg, table, configAge) {
+			q.serve(cfg)
+		}
 	}
 }
 
@@ -220,7 +239,9 @@
 	}
 	defer q.g.inProgress.remove(q)
 	q.fingerprint = fingerprint(q.r, body)
-	q.sendUntilAnswered()
+	if q.takeAllowance() {
+		q.sendUntilAnswered()
+	}
 }
 
 // lastAnswerAt is the clock reading until which an answer is waited for.
@@ -311,7 +332,7 @@
 	}
 	return cell.LendArgs{
 		Service: q.service, VM: q.g.vm, RequestID: q.ID, DataCentre: q.g.dataCentre, Route: q.route.Name,
-		Priority: q.route.Priority, Idempotent: q.route.Idempotent,
+		Priority: q.priority, Idempotent: q.route.Idempotent,
 		Age: now - q.arrived, Objective: q.arrived + q.route.Objective - now, Deadline: q.deadline - now,
 		Key: key, Repeat: q.attempts > 0, Avoid: q.avoid, Print: q.fingerprint,
 	}
@@ -333,6 +354,9 @@
 	stopping := context.Cause(q.waitCtx) == errStopping
 	switch {
 	case q.r.Context().Err() != nil:
+		if !q.mayHaveRun {
+			q.refundAllowance()
+		}
 		q.recordEnd("caller-left", 0, "", err)
 	case stopping && q.mayHaveRun:
 		q.answerUnknown(errStopping.Error(), q.avoid)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -46,6 +46,9 @@
 	AnswerMemory int64
 	Drain        gateway.Drain
 	Retry        cell.RetryLimits
+	// Revocation is the time after which a removed key of a workspace must not work on any
+	// VM; 0 means that there is no such time.
+	Revocation time.Duration
 }
 
 // Adapter provides the parts that depend on the platform on which the router
@@ -102,7 +105,7 @@
 	r.cells = cells
 	g := gateway.New(gateway.Config{
 		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: r.newTargetClient(local, s.AnswerMemory), Clock: c,
-		Logger: r.logger.Named("gateway"), Registry: r.registry,
+		Revocation: s.Revocation, Logger: r.logger.Named("gateway"), Registry: r.registry,
 	})
 	r.drain.Store(&s.Drain)
 	return r.kernel.Register(
