A grant without an answer holds from its result on, not from when it was due

Cause: a leader without processor time sends a grant up to some hundred milliseconds after it was due. The hold counts from its arrival, but the leader counted from when it was due, and gave the keys to another target while the first still held them. Change: the hold of a grant without an answer counts from its result, by which time its connection is reset. The model of two holders sends calls late and loses answers of calls that were carried out.

--- a/core/keyspace/calls.go
+++ b/core/keyspace/calls.go
@@ -138,7 +138,9 @@
 		}
 		held := p.held()
 		if c.Kind == Grant && result == NoAnswer {
-			p.extendHolds(c.Holder.Target, c.expires)
+			// A process without processor time sends the call later than c.sent, and the hold
+			// counts from its arrival.
+			p.extendHolds(c.Holder.Target, max(c.expires, now+m.cfg.longest(c.Hold)))
 		}
 		if p.From < c.From || p.To > c.To {
 			continue
--- a/core/keyspace/keyspace_test.go
+++ b/core/keyspace/keyspace_test.go
@@ -297,6 +297,37 @@
 	assert.LessOrEqual(t, m.rangeOf(0).heldUntil, lastRenewal+testConfig().MaxHoldSinceSend())
 }
 
+// Guards against two holders of a key when a leader without processor time sends a grant
+// long after it was due: the hold counts from its arrival, so a result that comes late
+// tells of a hold that ends late.
+func TestGrantSentLateHoldsLate(t *testing.T) {
+	m := newManagerWithOwners(t, "a", "b")
+	owner, _, _ := m.Owner(0, 0)
+	survivor := "b"
+	if owner.Target == "b" {
+		survivor = "a"
+	}
+	const due, delay = time.Second, 600 * time.Millisecond
+	reported := due + delay + testTimeout
+	for _, call := range m.Step(due, alwaysMayRun) {
+		if call.Holder == owner { // arrives before the call is given up, its answer is lost
+			m.ReportResult(reported, call.ID, NoAnswer, "")
+			continue
+		}
+		m.ReportResult(due, call.ID, Accepted, "")
+	}
+	_, ok := m.Propose(reported, candidates(survivor), &Load{})
+	require.True(t, ok)
+	m.Committed(reported, 2)
+	expiry := reported + testHold*100/98
+	for now := reported; now < expiry; now += 20 * time.Millisecond {
+		for _, call := range m.Step(now, alwaysMayRun) {
+			require.False(t, call.Kind == Grant && call.Holder.Target == survivor && call.From == 0, "granted at %s while %s may hold the keys until %s", now, owner.Target, expiry)
+			m.ReportResult(now, call.ID, Accepted, "")
+		}
+	}
+}
+
 // Guards against a grant that was shortened while its target did not answer and that
 // expires before it is renewed, although the target answers again.
 func TestShortenedGrantIsRenewedAtOnce(t *testing.T) {
--- a/core/keyspace/model_test.go
+++ b/core/keyspace/model_test.go
@@ -106,6 +106,7 @@
 	applyDelay time.Duration // from arrival until the target applies it
 	receivedBy *modelTarget  // the process that was up when it arrived
 	applied    bool
+	answerLost bool
 	result     CallResult
 	resultAt   time.Duration // time at which the manager gets the result
 	manager    *Manager
@@ -148,7 +149,7 @@
 		}
 		if m.now >= c.resultAt {
 			result := c.result
-			if !c.applied {
+			if !c.applied || c.answerLost {
 				result = NoAnswer
 			}
 			c.manager.ReportResult(m.now, c.action.ID, result, "h")
@@ -181,15 +182,22 @@
 func (m *model) send(from *Manager) {
 	for _, a := range from.Step(m.now, func(h Holder) bool { return m.lives[h.Target] == 0 || m.lives[h.Target] <= h.Life }) {
 		c := &modelCall{action: a, manager: from}
+		sentAt := m.now
+		if rapid.IntRange(0, 9).Draw(m.t, "starved") == 0 { // the leader's process gets to send it later
+			sentAt += time.Duration(rapid.IntRange(1, 800).Draw(m.t, "starved for")) * time.Millisecond
+		}
 		switch rapid.IntRange(0, 9).Draw(m.t, "fate") {
 		case 0: // lost
-			c.resultAt = m.now + testTimeout
+			c.resultAt = sentAt + testTimeout
 		case 1: // applied late; its duration counts from the arrival
-			c.arrivesAt = m.now + time.Duration(rapid.IntRange(1, 600).Draw(m.t, "arrives"))*time.Millisecond
+			c.arrivesAt = sentAt + time.Duration(rapid.IntRange(1, 600).Draw(m.t, "arrives"))*time.Millisecond
 			c.applyDelay = time.Duration(rapid.IntRange(0, 12000).Draw(m.t, "takes")) * time.Millisecond
-			c.resultAt = m.now + testTimeout
+			c.resultAt = sentAt + testTimeout
+		case 2: // carried out, but its answer is lost
+			c.arrivesAt = sentAt + time.Duration(rapid.IntRange(1, 600).Draw(m.t, "arrives"))*time.Millisecond
+			c.resultAt, c.answerLost = sentAt+testTimeout, true
 		default:
-			c.arrivesAt = m.now + time.Duration(rapid.IntRange(1, 100).Draw(m.t, "way"))*time.Millisecond
+			c.arrivesAt = sentAt + time.Duration(rapid.IntRange(1, 100).Draw(m.t, "way"))*time.Millisecond
 			c.resultAt = c.arrivesAt + time.Millisecond
 		}
 		m.calls = append(m.calls, c)
