Rank VMs as leaders by processor time and link

A VM with half of the processor time of the largest one counted as large, and the link did not count. On a deployment with VMs of 0.8 cores and 200 Mbit/s, 0.4 cores and 10 Mbit/s and 0.12 cores and 10 Mbit/s, a VM of 0.4 cores led a service with 1,700 requests/s and could not keep up.

A VM now counts as large from three quarters of the most cores on, if its link has at least half of the bandwidth of the fastest among those. The record of a VM gains the link, from limits.linkMbps. Records and settings without it count as the fastest link, and both versions decode each other's records.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -102,6 +102,9 @@
 	Boot        string // differs for each start of the process
 	// Cores is the processor time that the VM may use, in cores.
 	Cores float64
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 in records of earlier versions
+	// and where the settings do not state it.
+	LinkMbps float64 `json:",omitempty"`
 	// Era is the era of the store that the process knew when it registered.
 	Era int64
 }
--- a/node/cell/handover.go
+++ b/node/cell/handover.go
@@ -177,7 +177,7 @@
 // the order in which they would claim it after the loss of its leader.
 func (s *Service) leaderCandidates(service string) []fleet.VM {
 	vms := s.others("")
-	large := largeThreshold(vms)
+	large := newLargeThreshold(vms)
 	slices.SortFunc(vms, func(a, b fleet.VM) int {
 		if ranksBefore(service, a, b, large) {
 			return -1
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -335,7 +335,7 @@
 // for all VMs. The VM of the leader that the record names is not counted.
 func (s *Service) rank(service string, c *fleet.Cell) int {
 	vms := s.view.VMs()
-	large := largeThreshold(vms)
+	large := newLargeThreshold(vms)
 	rank := 0
 	for _, vm := range vms {
 		if vm.ID != s.self.ID && (c == nil || vm.ID != c.Leader) && ranksBefore(service, vm, s.self, large) {
@@ -345,24 +345,44 @@
 	return min(rank, maxRank)
 }
 
-// largeShare is the fraction of the largest VM's processor cores from which on a VM
-// counts as large.
-const largeShare = 0.5
+const (
+	// largeCoresShare is the fraction of the largest VM's processor cores from which on a VM
+	// counts as large. At 0.5, a VM of 0.4 cores led cells beside VMs of 0.8 cores and could
+	// not keep up with 1,700 requests/s.
+	largeCoresShare = 0.75
+	// largeLinkShare is the same for the link, relative to the fastest known link of the VMs
+	// that have enough cores.
+	largeLinkShare = 0.5
+)
 
-// largeThreshold returns the number of processor cores from which on a VM counts as
+// largeThreshold holds the processor cores and the bandwidth from which on a VM counts as
 // large.
-func largeThreshold(vms []fleet.VM) float64 {
-	large := 0.0
+type largeThreshold struct{ cores, linkMbps float64 }
+
+// newLargeThreshold returns the threshold for a fleet. At least one VM of the fleet
+// reaches it.
+func newLargeThreshold(vms []fleet.VM) largeThreshold {
+	var t largeThreshold
+	for _, vm := range vms {
+		t.cores = max(t.cores, vm.Cores*largeCoresShare)
+	}
 	for _, vm := range vms {
-		large = max(large, vm.Cores*largeShare)
+		if vm.Cores >= t.cores {
+			t.linkMbps = max(t.linkMbps, vm.LinkMbps*largeLinkShare)
+		}
 	}
-	return large
+	return t
+}
+
+// isLarge reports whether a VM counts as large. A VM without a figure for its link counts
+// as one with the fastest link.
+func (t largeThreshold) isLarge(vm fleet.VM) bool {
+	return vm.Cores >= t.cores && (vm.LinkMbps == 0 || vm.LinkMbps >= t.linkMbps)
 }
 
 // ranksBefore reports whether VM a ranks before VM b for the leadership of a service.
-// large is the result of largeThreshold.
-func ranksBefore(service string, a, b fleet.VM, large float64) bool {
-	if aLarge, bLarge := a.Cores >= large, b.Cores >= large; aLarge != bLarge {
+func ranksBefore(service string, a, b fleet.VM, large largeThreshold) bool {
+	if aLarge, bLarge := large.isLarge(a), large.isLarge(b); aLarge != bLarge {
 		return aLarge
 	}
 	hashB, hashA := rankHash(service, b.ID), rankHash(service, a.ID)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -37,6 +37,7 @@
 	VM         string
 	DataCentre string
 	Cores      float64 // number of processor cores that the VM may use
+	LinkMbps   float64 // bandwidth of the VM's link in Mbit/s; 0 if unknown
 	Callers    string  // listen address for callers
 	Readiness  string  // listen address for the load balancer's readiness checks
 	Peers      string  // listen address for other VMs
@@ -81,7 +82,7 @@
 		return nil, errors.Wrap(err, "create boot id")
 	}
 	r := &Router{kernel: kernel.New(), logger: logger, registry: registry}
-	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Cores: s.Cores, Boot: hex.EncodeToString(boot)}
+	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Cores: s.Cores, LinkMbps: s.LinkMbps, Boot: hex.EncodeToString(boot)}
 	return r, r.assemble(s, self, a)
 }
 
