Keep calls in flight when an exchange with the leader is late

A missed exchange closed the only connection to the leader, and with it every Lend call in flight: on a deployment with 69 VMs, 4,967 of 5,077 failed Lend calls ended with 'use of closed network connection', all VMs lent locally, and refusals increased five-fold.

A connection that has delivered nothing since the missed exchange was sent is now replaced: later calls use a new one, and the old one is closed when its calls have ended, when a ping on it gets no reply for 1.5 s, or after 11 s. A connection that has delivered replies since is kept, so that a busy leader gets no new connections. Lend calls to a leader that has become silent fall back to local lending once it counts as silent, with one log line and the counter cell.lend_fallbacks; a slot that is lent by a late answer is returned unused. A Lend call that fails although the leader has answered another one since is repeated once instead of marking it silent.

Measured: tests with small fakes, with -race (node/peer, node/cell, node/gateway). In the run of node/cell on a machine with a load average of 29, TestKeysStayHeldWhileStoreIsAway failed once (a leader without support); 6 of 6 repetitions alone passed.

--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -29,7 +29,7 @@
 // the slot itself, within a small share of the cell's capacity. The only errors are
 // those of ctx.
 func (s *Service) AcquireSlot(ctx context.Context, a LendArgs) (Slot, error) {
-	began := s.clock.Now()
+	began, askedAgain := s.clock.Now(), false
 	for range maxLeadersAsked {
 		now := a.after(s.clock.Now() - began)
 		if l := s.currentLeadership(a.Service); l != nil {
@@ -42,7 +42,9 @@
 		switch {
 		case answer == decided || ctx.Err() != nil:
 			return slot, ctx.Err()
-		case answer == noLeader:
+		case answer == lost && !askedAgain:
+			askedAgain = true
+		case answer == noLeader || answer == lost:
 			if slot, err := s.lendLocally(ctx, now); !errors.Is(err, errAskLeader) {
 				return slot, err
 			}
@@ -64,15 +66,19 @@
 	noLeader leaderAnswer = iota // no other VM is known to lead the cell, or it does not answer
 	moved                        // the VM asked does not lead the cell, and another process that does is known
 	decided                      // the leader has lent or refused a slot
+	lost                         // the call failed, but the leader has answered another one since
 )
 
 // lendRemote asks the leader for a slot if it is another VM. A slot that is lent after
-// ctx has ended is returned unused.
+// ctx has ended, or after the leader was given up as silent, is returned unused.
 func (s *Service) lendRemote(ctx context.Context, a LendArgs) (Slot, leaderAnswer) {
 	vm, c, ok := s.currentLeader(a.Service)
 	if !ok || vm.ID == s.self.ID || !s.shouldAsk(vm) {
 		return Slot{}, noLeader
 	}
+	began := s.clock.Now()
+	silent, done := s.awaitLeader(vm, began)
+	defer done()
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
 	type answer struct {
 		reply LendReply
@@ -88,21 +94,33 @@
 	slot := func(r answer) Slot {
 		return Slot{Decision: r.reply.Decision, service: a.Service, leader: vm.PeerAddress, DecidedBy: vm.ID}
 	}
+	returnLate := func() {
+		r := <-answered
+		if r.err != nil {
+			return
+		}
+		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
+		if r.reply.Decision.Lent {
+			s.Return(slot(r), lending.Usage{Result: lending.Unused})
+		}
+	}
 	select {
 	case r := <-answered:
 		if r.err != nil {
 			s.logger.Info("Lend call to the leader failed", "request", a.RequestID, "service", a.Service, "leader", vm.ID, "error", r.err)
+			if s.heardSince(vm, began) { // only this connection was lost
+				return Slot{}, lost
+			}
 			s.markSilent(vm.ID, vm.Boot)
 			return Slot{}, noLeader
 		}
 		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
 		return slot(r), s.handleLendReply(vm, c, r.reply)
+	case <-silent:
+		go returnLate()
+		return Slot{}, noLeader
 	case <-ctx.Done():
-		go func() {
-			if r := <-answered; r.err == nil && r.reply.Decision.Lent {
-				s.Return(slot(r), lending.Usage{Result: lending.Unused})
-			}
-		}()
+		go returnLate()
 		return Slot{}, noLeader
 	}
 }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -56,23 +56,25 @@
 // Service takes part in the election of the leaders of all cells, runs the cells that
 // this VM leads, and gets slots for the requests of this VM.
 type Service struct {
-	self        fleet.VM
-	view        *view.View
-	store       view.Store
-	keyCaller   KeyCaller
-	clock       *clock.Clock
-	started     time.Duration // reading of clock when the process started
-	peers       *peer.Client
-	retry       RetryLimits
-	logger      hclog.Logger
-	guard       *panics.Guard
-	lastID      atomic.Uint64
-	claims      metrics.Counter
-	localLends  metrics.Counter
-	cancelAll   context.CancelFunc
-	ctx         context.Context
-	wg          sync.WaitGroup
-	reconcileMu sync.Mutex // held during reconcile
+	self       fleet.VM
+	view       *view.View
+	store      view.Store
+	keyCaller  KeyCaller
+	clock      *clock.Clock
+	started    time.Duration // reading of clock when the process started
+	peers      *peer.Client
+	retry      RetryLimits
+	logger     hclog.Logger
+	guard      *panics.Guard
+	lastID     atomic.Uint64
+	claims     metrics.Counter
+	localLends metrics.Counter
+	// lendFallbacks counts the Lend calls that were given up because the leader was silent.
+	lendFallbacks metrics.Counter
+	cancelAll     context.CancelFunc
+	ctx           context.Context
+	wg            sync.WaitGroup
+	reconcileMu   sync.Mutex // held during reconcile
 	// retiring is set once this VM may not become the leader of a cell any more.
 	retiring atomic.Bool
 
@@ -89,6 +91,9 @@
 	// followers holds, by service, which leader this VM supports or has released.
 	followers map[string]*support.Follower
 	deputies  map[string]deputy // by service
+	// lendWaits holds the processes, by VM id and boot, for which Lend calls wait.
+	lendWaits  map[string]*lendWait
+	releasedAt time.Duration // last call of releaseWaiting
 	// resigned holds the services for which this VM may have a deputy. It begins to lead
 	// none of them by a record that it wrote before, which the store may carry out late.
 	resigned map[string]bool
@@ -112,10 +117,12 @@
 func New(c Config) (*Service, error) {
 	s := &Service{
 		self: c.Self, view: c.View, store: c.Store, keyCaller: c.KeyCaller, clock: c.Clock, started: c.Clock.Now(), peers: c.Peers, retry: c.Retry, logger: c.Logger,
-		guard:       panics.New(c.Logger, c.Registry),
-		claims:      metrics.GetOrRegisterCounter("cell.claims", c.Registry),
-		localLends:  metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
-		leaderships: map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
+		guard:         panics.New(c.Logger, c.Registry),
+		claims:        metrics.GetOrRegisterCounter("cell.claims", c.Registry),
+		localLends:    metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
+		lendFallbacks: metrics.GetOrRegisterCounter("cell.lend_fallbacks", c.Registry),
+		lendWaits:     map[string]*lendWait{},
+		leaderships:   map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
 		lastHeard: map[string]time.Duration{}, silentSince: map[string]time.Duration{}, lastSeenCell: map[string]*fleet.Cell{},
 		learnedFromLeader: map[string]lending.Learned{}, followers: map[string]*support.Follower{}, deputies: map[string]deputy{}, resigned: map[string]bool{},
 	}
@@ -157,6 +164,7 @@
 	defer s.wg.Done()
 	for s.ctx.Err() == nil {
 		s.reconcile()
+		s.releaseWaiting()
 		s.tickLocalLenders()
 		time.Sleep(reconcileInterval)
 	}
--- a/node/cell/sync.go
+++ b/node/cell/sync.go
@@ -126,7 +126,7 @@
 	var reply SyncReply
 	if err := s.peers.Call(ctx, vm.PeerAddress, RPCName+".Sync", args, &reply); err != nil {
 		if ctx.Err() != nil && s.ctx.Err() == nil {
-			s.peers.Drop(vm.PeerAddress, sent)
+			s.peers.Drain(vm.PeerAddress, sent) // the leader may only be slow, with Lend calls in flight
 		}
 		s.noteLost(vm.VM, err)
 		return
--- a/node/peer/client.go
+++ b/node/peer/client.go
@@ -29,6 +29,14 @@
 	// connsPerPeer is the default number of connections to a peer. With several,
 	// one call with a large body does not delay all other calls.
 	connsPerPeer = 4
+	// drainPingInterval and drainPingTimeout are the interval between pings of a connection
+	// that Drain has replaced, and how long one may go without a reply. The timeout spans a
+	// pause of the peer's process of 1 s.
+	drainPingInterval = 500 * time.Millisecond
+	drainPingTimeout  = 1500 * time.Millisecond
+	// maxDrain bounds how long such a connection stays open. Requests of the longest
+	// routes of the deployments have a deadline of 10 s.
+	maxDrain = 11 * time.Second
 )
 
 // Options configure how a Client manages its connections.
@@ -36,7 +44,7 @@
 	// Connections is the number of connections to each peer; 0 means connsPerPeer.
 	Connections int
 	// NoPings turns pings off. The caller then has to detect silent connections
-	// by the timeouts of its own calls, and close them with Drop.
+	// by the timeouts of its own calls, and replace them with Drain.
 	NoPings bool
 }
 
@@ -68,9 +76,10 @@
 	LocalAddr *net.TCPAddr
 	Options   Options
 
-	mu     sync.Mutex
-	peers  map[string]*connSet
-	closed bool
+	mu      sync.Mutex
+	peers   map[string]*connSet
+	drained map[*conn]bool // replaced by Drain and not closed yet
+	closed  bool
 }
 
 // connSet holds the connections to one peer, which calls use in turn.
@@ -86,17 +95,19 @@
 	err      error
 	openedAt time.Time // set before ready is closed
 	mu       sync.Mutex
-	inFlight int  // calls that use the connection or wait for its dial
-	pinging  bool // pingLoop runs
-	dropped  bool // removed from its connSet and closed
-	draining bool // takes no new calls; closed when no call is in flight
+	// repliedAt is when the last reply arrived; zero if none has.
+	repliedAt time.Time
+	inFlight  int  // calls that use the connection or wait for its dial
+	pinging   bool // pingLoop runs
+	dropped   bool // removed from its connSet and closed
+	draining  bool // takes no new calls; closed when no call is in flight
 }
 
 // NewClient returns a client that has no connections yet. A nil TLS configuration
 // means plain text.
 func NewClient(key []byte, tlsConfig *tls.Config, registry metrics.Registry) *Client {
 	return &Client{
-		key: key, tls: tlsConfig, peers: map[string]*connSet{},
+		key: key, tls: tlsConfig, peers: map[string]*connSet{}, drained: map[*conn]bool{},
 		unresponsive: metrics.GetOrRegisterCounter("peer.connections_condemned", registry),
 		traffic:      wire.NewCounters("peer.client", registry),
 	}
@@ -122,10 +133,12 @@
 	select {
 	case call := <-done:
 		if call.Error == nil {
+			cn.noteReply()
 			return nil
 		}
 		var remote rpc.ServerError
 		if errors.As(call.Error, &remote) {
+			cn.noteReply()
 			return remote
 		}
 		c.drop(address, cn)
@@ -142,25 +155,83 @@
 	return connsPerPeer
 }
 
-// Drop closes the connections to a peer that were opened before cutoff, the time
-// when a call that got no reply was sent. In-flight calls on them fail.
-func (c *Client) Drop(address string, cutoff time.Time) {
+// Drain replaces the connections to a peer that have delivered nothing since cutoff, the
+// time when a call that got no reply was sent: later calls use new connections. An old one
+// stays open for the calls in flight on it, until they have ended, a ping gets no reply
+// for drainPingTimeout, or maxDrain has passed. The peer may only be slow, so that closing
+// it at once would fail all of them.
+func (c *Client) Drain(address string, cutoff time.Time) {
 	c.mu.Lock()
-	var old []*conn
-	if set := c.peers[address]; set != nil {
-		for _, cn := range set.conns {
-			if cn != nil && cn.openedBefore(cutoff) {
-				old = append(old, cn)
+	var idle, busy []*conn
+	if set := c.peers[address]; set != nil && !c.closed {
+		for i, cn := range set.conns {
+			if cn == nil || !cn.openedBefore(cutoff) || cn.repliedSince(cutoff) {
+				continue
+			}
+			set.conns[i] = nil
+			if cn.startDraining() {
+				idle = append(idle, cn)
+			} else {
+				busy = append(busy, cn)
+				c.drained[cn] = true
 			}
 		}
 	}
 	c.mu.Unlock()
-	for _, cn := range old {
-		c.unresponsive.Inc(1)
-		c.drop(address, cn)
+	c.unresponsive.Inc(int64(len(idle) + len(busy)))
+	for _, cn := range idle {
+		cn.rpc.Close()
+	}
+	for _, cn := range busy {
+		go c.watchDrained(cn)
+	}
+}
+
+// watchDrained closes a connection that Drain has replaced once it is silent or maxDrain
+// has passed, and returns when it is closed.
+func (c *Client) watchDrained(cn *conn) {
+	defer func() {
+		cn.rpc.Close()
+		c.mu.Lock()
+		delete(c.drained, cn)
+		c.mu.Unlock()
+	}()
+	end := time.After(maxDrain)
+	for {
+		answered := make(chan error, 1)
+		// Sending blocks on a silent connection whose buffer is full, until it is closed.
+		go func() { answered <- cn.rpc.Call("Ping.Ping", struct{}{}, new(struct{})) }()
+		select {
+		case err := <-answered:
+			if err != nil { // callDone has closed the connection, or it has failed
+				return
+			}
+		case <-time.After(drainPingTimeout):
+			return
+		case <-end:
+			return
+		}
+		select {
+		case <-time.After(drainPingInterval):
+		case <-end:
+			return
+		}
 	}
 }
 
+func (cn *conn) noteReply() {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.repliedAt = time.Now()
+}
+
+// repliedSince reports whether a reply has arrived after t.
+func (cn *conn) repliedSince(t time.Time) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.repliedAt.After(t)
+}
+
 // connection returns a connection to a peer, and waits until it is open. The
 // caller must call callDone once it no longer uses the connection.
 func (c *Client) connection(ctx context.Context, address string) (*conn, error) {
@@ -394,6 +465,9 @@
 			}
 		}
 	}
+	for cn := range c.drained {
+		all = append(all, cn)
+	}
 	c.peers = map[string]*connSet{}
 	c.mu.Unlock()
 	for _, cn := range all {
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -92,6 +92,75 @@
 	}, 4*time.Second, 10*time.Millisecond, "calls must succeed on new connections")
 }
 
+// Guards against an exchange that is late and fails all calls in flight to the peer: only new
+// calls use another connection.
+func TestDrainKeepsCallsInFlight(t *testing.T) {
+	address, echo := startServer(t)
+	c := newTestClient(t, key)
+	c.Options = Options{Connections: 1, NoPings: true}
+	in, out := "hello", ""
+	require.NoError(t, c.Call(t.Context(), address, "Echo.Say", &in, &out))
+	first := func() *conn {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.peers[address].conns[0]
+	}
+	old := first()
+	slowCall := make(chan error, 1)
+	go func() {
+		var reply string
+		slowCall <- c.Call(context.Background(), address, "Echo.Wait", &in, &reply)
+	}()
+	require.Eventually(t, func() bool { old.mu.Lock(); defer old.mu.Unlock(); return old.inFlight == 1 }, time.Second, time.Millisecond)
+
+	sent := time.Now()
+	require.NoError(t, c.Call(t.Context(), address, "Echo.Say", &in, &out))
+	c.Drain(address, sent)
+	require.Same(t, old, first(), "a connection that has delivered a reply since is not replaced")
+
+	c.Drain(address, time.Now())
+	require.NoError(t, c.Call(t.Context(), address, "Echo.Say", &in, &out))
+	require.NotSame(t, old, first())
+	time.Sleep(drainPingTimeout + 100*time.Millisecond) // a silent connection would be closed by now
+	close(echo.release)
+	require.NoError(t, <-slowCall)
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.drained) == 0
+	}, 2*time.Second, 10*time.Millisecond, "the connection must be closed when its calls have ended")
+}
+
+// Guards against calls that wait until their deadline on a connection that was replaced and
+// is silent for good.
+func TestDrainedSilentConnectionIsClosed(t *testing.T) {
+	address, _ := startServer(t)
+	proxy, err := faultproxy.New(faultproxy.Config{Upstream: address})
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	c := newTestClient(t, key)
+	c.Options = Options{Connections: 1, NoPings: true}
+	in, out := "hello", ""
+	require.NoError(t, c.Call(t.Context(), proxy.Addr(), "Echo.Say", &in, &out))
+	proxy.BlackholeExisting()
+	call := make(chan error, 1)
+	go func() {
+		var reply string
+		call <- c.Call(context.Background(), proxy.Addr(), "Echo.Say", &in, &reply)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	c.Drain(proxy.Addr(), time.Now())
+	require.NoError(t, c.Call(t.Context(), proxy.Addr(), "Echo.Say", &in, &out), "new calls use a new connection")
+	select {
+	case err := <-call:
+		var failed *CallError
+		require.ErrorAs(t, err, &failed)
+		require.True(t, failed.MayHaveRun)
+	case <-time.After(drainPingTimeout + 2*time.Second):
+		require.Fail(t, "the call still waits on the silent connection")
+	}
+}
+
 // Guards against reporting that a call may have run when no connection could be
 // opened: the caller would take a call that failed for certain as unknown.
 func TestUnreachablePeerDidNotRunTheCall(t *testing.T) {
