Allowances: exchange between VMs and wiring

Cause: granter and spender of core/allowance were not connected. Change: node/allowance serves the RPC Exchange on the VM that reads the store, requests tokens on demand and regularly, and implements gateway.Allowances; node/router uses it if the settings have the bounds of allowances. Take returns a ticket, since a refund whose lease has ended must not be used. Nothing is sent while no workspace has a limit.

--- a/core/allowance/spender.go
+++ b/core/allowance/spender.go
@@ -35,10 +35,11 @@
 	named       string // granter that the last report named
 	// granter is the granter that was heard last, echo the time in its last reply, which
 	// came at heardAt.
-	granter  string
-	echo     time.Duration
-	heardAt  time.Duration
-	hasHeard bool // a granter was heard since the last Reset
+	granter   string
+	echo      time.Duration
+	heardAt   time.Duration
+	mayUseOwn bool
+	hasHeard  bool // a granter was heard since the last Reset
 	// supported may count on the share of this VM until supportedUntil.
 	supported      string
 	supportedUntil time.Duration
@@ -68,7 +69,7 @@
 
 // NewSpender returns the spender of a process that starts now.
 func NewSpender(now time.Duration, vm, process string, b Bounds) *Spender {
-	s := &Spender{vm: vm, process: process, bounds: b}
+	s := &Spender{vm: vm, process: process, bounds: b, mayUseOwn: true}
 	s.Reset(now)
 	return s
 }
@@ -125,7 +126,7 @@
 			return Ticket(l.number), Taken, 0
 		}
 	}
-	if s.isOnItsOwn(now) {
+	if s.IsOnItsOwn(now) {
 		return s.takeOwn(now, a, limit)
 	}
 	if now < a.deniedUntil {
@@ -142,12 +143,16 @@
 	return at - now
 }
 
-// isOnItsOwn reports whether the VM uses its share itself: it has heard from a granter, and
+// IsOnItsOwn reports whether the VM uses its share itself: it has heard from a granter, and
 // none may count on the share any more.
-func (s *Spender) isOnItsOwn(now time.Duration) bool {
+func (s *Spender) IsOnItsOwn(now time.Duration) bool {
 	return s.hasHeard && now >= s.supportedUntil
 }
 
+// AllowOwnShare tells whether the VM may use its share itself. It may not once the other VMs
+// may not count it any more.
+func (s *Spender) AllowOwnShare(allowed bool) { s.mayUseOwn = allowed }
+
 // takeOwn takes a token of the VM's own share of the allowance.
 func (s *Spender) takeOwn(now time.Duration, a *account, l Limit) (Ticket, Outcome, time.Duration) {
 	n := float64(s.vms.value())
@@ -156,7 +161,7 @@
 		a.own = newBucket(s.supportedUntil)
 	}
 	a.own.advance(now, rate, s.bounds.capacity(l)/n, s.bounds.Lease())
-	if a.own.level >= 1 {
+	if a.own.level >= 1 && s.mayUseOwn {
 		a.own.level--
 		return ownTicket, Taken, 0
 	}
@@ -319,3 +324,6 @@
 
 // Granter returns the granter that was heard last, or "".
 func (s *Spender) Granter() string { return s.granter }
+
+// LastReport returns when the last report was made.
+func (s *Spender) LastReport() time.Duration { return s.sentAt }
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -431,6 +431,12 @@
 	return service != "" && s.leadershipOf(service) != nil
 }
 
+// Reader returns the VM that reads the store for all other VMs, as leader or deputy.
+func (s *Service) Reader() (fleet.VM, bool) {
+	vm, _, ok := s.currentLeader(s.readerCell())
+	return vm, ok
+}
+
 // reader returns the id of the VM that reads the store for all other VMs, or "" if no
 // cell has a record. It does not consider deputies.
 func (s *Service) reader() string {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/allowance"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/quarantine"
@@ -135,8 +136,8 @@
 	route         *fleet.Route
 	configVersion int64
 	priority      int
-	allowance     string // workspace with a limit, or ""
-	taken         bool   // the request was taken from that allowance
+	allowance     string           // workspace with a limit, or ""
+	ticket        allowance.Ticket // of that allowance, or 0
 	service       string
 	keyed         bool
 	body          []byte
--- a/node/gateway/workspace.go
+++ b/node/gateway/workspace.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mangogate/mangogate/core/allowance"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/rcrowley/go-metrics"
 )
@@ -12,10 +13,11 @@
 // Allowances limits how many requests of each workspace all VMs together run.
 type Allowances interface {
 	// Take takes one request from the allowance of a workspace with a limit. If there is no
-	// room it returns false and the time after which there should be.
-	Take(ctx context.Context, workspace string) (ok bool, retryAfter time.Duration)
-	// Refund gives back what Take took for a request that was not run.
-	Refund(workspace string)
+	// room it returns no ticket and the time after which there should be.
+	Take(ctx context.Context, workspace string) (t allowance.Ticket, retryAfter time.Duration)
+	// Refund gives back what Take took for a request that was not run. The ticket tells
+	// until when it may be used: later it would add to the requests of another window.
+	Refund(workspace string, t allowance.Ticket)
 }
 
 // revocationShare is the share of Config.Revocation up to which a VM trusts the
@@ -79,9 +81,9 @@
 	if check.allowances == nil || q.allowance == "" {
 		return true
 	}
-	ok, retryAfter := check.allowances.Take(q.waitCtx, q.allowance)
-	if ok {
-		q.taken = true
+	ticket, retryAfter := check.allowances.Take(q.waitCtx, q.allowance)
+	if ticket != 0 {
+		q.ticket = ticket
 		return true
 	}
 	if q.waitCtx.Err() != nil {
@@ -96,8 +98,8 @@
 // refundAllowance gives back what the request took from the allowance of its workspace. It
 // has an effect once.
 func (q *request) refundAllowance() {
-	if q.taken {
-		q.taken = false
-		q.g.workspaces.allowances.Refund(q.allowance)
+	if q.ticket != 0 {
+		q.g.workspaces.allowances.Refund(q.allowance, q.ticket)
+		q.ticket = 0
 	}
 }
--- a/node/gateway/workspace_test.go
+++ b/node/gateway/workspace_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/allowance"
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
@@ -41,17 +42,17 @@
 	left int
 }
 
-func (a *fakeAllowances) Take(context.Context, string) (bool, time.Duration) {
+func (a *fakeAllowances) Take(context.Context, string) (allowance.Ticket, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.left == 0 {
-		return false, 2 * time.Second
+		return 0, 2 * time.Second
 	}
 	a.left--
-	return true, 0
+	return 1, 0
 }
 
-func (a *fakeAllowances) Refund(string) {
+func (a *fakeAllowances) Refund(string, allowance.Ticket) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.left++
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/mangogate/mangogate/core/allowance"
 	"github.com/mangogate/mangogate/core/fleet"
+	nodeallowance "github.com/mangogate/mangogate/node/allowance"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/exporter"
@@ -49,6 +51,9 @@
 	// Revocation is the time after which a removed key of a workspace must not work on any
 	// VM; 0 means that there is no such time.
 	Revocation time.Duration
+	// Allowances bound how far the requests of a workspace may exceed its limit; without a
+	// window, limits are not enforced.
+	Allowances allowance.Bounds
 }
 
 // Adapter provides the parts that depend on the platform on which the router
@@ -103,18 +108,28 @@
 		return err
 	}
 	r.cells = cells
-	g := gateway.New(gateway.Config{
+	gatewayConfig := gateway.Config{
 		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: r.newTargetClient(local, s.AnswerMemory), Clock: c,
 		Revocation: s.Revocation, Logger: r.logger.Named("gateway"), Registry: r.registry,
-	})
+	}
+	modules := []kernel.Module{server, client, feed.New(self, v, store, c, cells, r.logger.Named("feed"), r.registry), cells}
+	if s.Allowances.Window > 0 {
+		allowances, err := nodeallowance.New(nodeallowance.Config{
+			Self: self, View: v, Readers: cells, Clock: c, Peers: client, Server: server, Bounds: s.Allowances,
+			Logger: r.logger.Named("allowance"), Registry: r.registry,
+		})
+		if err != nil {
+			return err
+		}
+		gatewayConfig.Allowances = allowances
+		modules = append(modules, allowances)
+	}
+	g := gateway.New(gatewayConfig)
 	r.drain.Store(&s.Drain)
-	return r.kernel.Register(
-		server, client,
-		feed.New(self, v, store, c, cells, r.logger.Named("feed"), r.registry),
-		cells,
+	return r.kernel.Register(append(modules,
 		gateway.NewListener(g, s.Callers, s.Readiness, func() gateway.Drain { return *r.drain.Load() }),
 		exporter.New(s.Metrics, r.registry, r.logger.Named("metrics")),
-	)
+	)...)
 }
 
 // newTargetClient returns a new client for targets that uses a source address and at
