Spillover between data centres decided from measured load

Cause: requests without a key pay a constant penalty of 8 ms for another data centre, whatever the load.

Change: core/locality decides, per service and data centre, which share of demand may leave, from demand, capacity, queues, work times, delays and a price for bytes. core/lending measures and applies it in the leader: home first while it has a free slot. Usage carries the size of bodies. Keyed services: owners are not placed by the data centre of their demand yet.

--- a/cmd/mangogate/platform.go
+++ b/cmd/mangogate/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"os/signal"
@@ -13,6 +14,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/cmd/internal/usage"
+	"github.com/mangogate/mangogate/core/locality"
 	"github.com/mangogate/mangogate/node/eventlog"
 	"github.com/mangogate/mangogate/node/router"
 	"github.com/mangogate/mangogate/platform"
@@ -31,18 +33,41 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "`FILE` in the platform's format", Sources: cli.EnvVars(platform.SettingsVariable), Required: true},
 			&cli.IntFlag{Name: "metrics-port", Usage: "`PORT` that serves counters and histograms as text; 0 serves none"},
+			&cli.FloatFlag{Name: spilloverFlag, Usage: "decide from measured load which requests leave their data centre; an answer may take `MS` milliseconds longer " +
+				"to save one megabyte of traffic between data centres. Without the flag other data centres cost a constant penalty"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return servePlatform(ctx, c.String("settings"), c.Int("metrics-port"))
+			spillover, err := spilloverConfig(c)
+			if err != nil {
+				return err
+			}
+			return servePlatform(ctx, c.String("settings"), c.Int("metrics-port"), spillover)
 		},
 	}
 }
 
+const spilloverFlag = "spillover-price"
+
+// spilloverConfig returns the value of the flag spilloverFlag, or nil if it is not given.
+func spilloverConfig(c *cli.Command) (*locality.Config, error) {
+	if !c.IsSet(spilloverFlag) {
+		return nil, nil
+	}
+	price := c.Float(spilloverFlag)
+	if !(price >= 0 && price <= maxSpilloverPrice) {
+		return nil, cli.Exit(fmt.Sprintf("--%s: %v is not a number from 0 to %v", spilloverFlag, price, maxSpilloverPrice), usage.ExitCode)
+	}
+	return &locality.Config{PricePerMB: time.Duration(price * float64(time.Millisecond))}, nil
+}
+
+// maxSpilloverPrice, in milliseconds per megabyte, is a minute: no caller waits that long.
+const maxSpilloverPrice = 60_000.0
+
 // servePlatform runs one VM until SIGTERM or SIGINT and then shuts it down
 // gracefully; a failed shutdown is only logged. A positive metricsPort exposes the
 // metrics on the IP of the VM. SIGHUP and a repeated SIGTERM never end the process:
 // either may come while it starts or stops. A second SIGINT kills it.
-func servePlatform(ctx context.Context, path string, metricsPort int) error {
+func servePlatform(ctx context.Context, path string, metricsPort int, spillover *locality.Config) error {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
@@ -57,6 +82,7 @@
 	logger, flush := eventlog.New(s.NodeName, os.Stdout, registry)
 	defer flush()
 	routerSettings := s.Router()
+	routerSettings.Spillover = spillover
 	if metricsPort > 0 {
 		routerSettings.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(metricsPort))
 	}
--- a/core/lending/counts.go
+++ b/core/lending/counts.go
@@ -14,11 +14,14 @@
 	// requests at all targets.
 	Targets, Cold, BackingOff int
 	Slots, InFlight           int
+	// Locality tells how each data centre's requests were served since the last
+	// TakeCounts; it is nil unless Config.Spillover is set.
+	Locality []LocalityCounts
 }
 
-// TakeCounts returns the counts and resets Lent and Refused.
+// TakeCounts returns the counts and resets those since the last call.
 func (l *Lender) TakeCounts(now time.Duration) Counts {
-	c := Counts{Lent: l.lentCount, Refused: l.refusedCount, Waiting: l.queued}
+	c := Counts{Lent: l.lentCount, Refused: l.refusedCount, Waiting: l.queued, Locality: l.spillover.takeCounts()}
 	l.lentCount, l.refusedCount = 0, map[Reason]int{}
 	for _, t := range l.targets {
 		c.InFlight += t.inFlight
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -15,6 +15,7 @@
 	"math/rand"
 	"time"
 
+	"github.com/mangogate/mangogate/core/locality"
 	"github.com/mangogate/mangogate/core/quarantine"
 	"github.com/mangogate/mangogate/core/retry"
 )
@@ -87,6 +88,7 @@
 	ID     uint64
 	Result Result
 	Took   time.Duration // from the first byte sent to the last byte received
+	Bytes  int64         // size of the bodies of the request and the answer
 	Load   *LoadReport   // load report that came with the answer, or nil
 }
 
@@ -112,6 +114,9 @@
 	// together they do not overload a target.
 	SlotsPerTarget int
 	Budget         retry.BudgetConfig
+	// Spillover decides which requests without a key leave their data centre. If it is
+	// nil, other data centres cost crossDataCentreCost.
+	Spillover *locality.Config
 }
 
 // Lender decides which request is sent to which target and when. It is not safe
@@ -126,6 +131,7 @@
 	leases         map[uint64]*slotLease
 	routes         map[string]*routeStats
 	budget         *retry.Budget
+	spillover      *spillover // nil unless Config.Spillover is set
 	suspects       *quarantine.State
 	recentRefusals map[quarantine.Fingerprint]refusal
 	decisions      []Decision
@@ -169,6 +175,7 @@
 		cfg: cfg, rng: rng, owner: owner,
 		targets: map[string]*target{}, leases: map[uint64]*slotLease{}, routes: map[string]*routeStats{},
 		budget:         retry.NewBudget(cfg.Budget, 0),
+		spillover:      newSpillover(cfg.Spillover),
 		suspects:       quarantine.New(quarantine.DefaultConfig()),
 		recentRefusals: map[quarantine.Fingerprint]refusal{}, refusedCount: map[Reason]int{},
 	}
@@ -215,6 +222,7 @@
 			}
 		}
 	}
+	l.updateShares(now, true)
 	l.recheckQueues(now)
 }
 
@@ -253,6 +261,7 @@
 // RequestSlot decides on a request at once or puts it into a queue. TakeDecisions
 // returns the decision.
 func (l *Lender) RequestSlot(now time.Duration, r Request) {
+	l.noteDemand(now, &r)
 	if d, refuse := l.admit(now, &r); refuse {
 		l.refuse(now, &r, d)
 		return
@@ -269,6 +278,7 @@
 // time, and lends slots that became free by the passing of time.
 func (l *Lender) Tick(now time.Duration) {
 	l.expireLeases(now)
+	l.updateShares(now, false)
 	l.recheckQueues(now)
 	l.expireRefusals(now)
 }
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -230,7 +230,10 @@
 		r := (*q)[i]
 		t := l.choose(now, r)
 		if t == nil {
-			return
+			if i, t = l.nextElsewhere(now, q, r); t == nil {
+				return
+			}
+			r = (*q)[i]
 		}
 		l.lendSlot(now, r, t)
 		q.remove(i)
@@ -341,6 +344,7 @@
 // lendSlot grants a request a lease on a slot of a target.
 func (l *Lender) lendSlot(now time.Duration, r *Request, t *target) {
 	t.takeSlot(now)
+	l.spillover.noteLent(now, r, t)
 	l.lentCount++
 	l.leases[r.ID] = &slotLease{Request: *r, target: t, sentAt: now}
 	l.decisions = append(l.decisions, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -14,7 +14,7 @@
 	failureWeight = 0.15
 	// crossDataCentreCost is added to the expected time at a target in another
 	// data centre, so that requests stay in their data centre where the times are
-	// about equal.
+	// about equal. Config.Spillover replaces it by a measured cost.
 	crossDataCentreCost = 8 * time.Millisecond
 	// connectCost is added to the expected time if a connection has to be opened:
 	// targets accept few connections, and a new one occupies a slot for a while.
@@ -159,10 +159,18 @@
 		}
 		return t
 	}
-	var best *target
-	var bestTime float64
+	if l.spillover != nil {
+		return l.chooseByShares(now, r)
+	}
+	best, _ := l.bestOf(now, r, func(*target) bool { return true })
+	return best
+}
+
+// bestOf returns the target with the least expectedTime for a request among those with
+// a free slot that a condition admits, or nil.
+func (l *Lender) bestOf(now time.Duration, r *Request, admits func(*target) bool) (best *target, bestTime float64) {
 	for _, t := range l.targets {
-		if !t.available(now) || !l.hasRoom(now, t) {
+		if !t.available(now) || !l.hasRoom(now, t) || !admits(t) {
 			continue
 		}
 		expected := l.expectedTime(now, r, t)
@@ -170,31 +178,32 @@
 			best, bestTime = t, expected
 		}
 	}
-	return best
+	return best, bestTime
 }
 
 // expectedTime returns the time in nanoseconds that a request is expected to take at
 // a target, including the penalties that steer requests to other targets.
 func (l *Lender) expectedTime(now time.Duration, r *Request, t *target) float64 {
 	cost := float64(l.expectedWork(r.Route)) * t.slowness.usually() * t.slowness.excessNow(now) * (1 + failureCost*t.failureRate)
-	if t.DataCentre != r.DataCentre {
-		cost += float64(crossDataCentreCost)
-	}
+	cost += float64(l.crossCost(r, t))
 	if last, ok := t.lastAnswer[r.VM]; !ok || now > last+idleConnectionTTL {
 		cost += float64(connectCost)
 	}
 	if t.ID == r.Avoid {
 		cost *= failureCost
 	}
-	// Each request in flight is expected to slow down the others at the target.
-	cost *= 1 + 0.1*float64(t.inFlight)
-	return cost
+	return cost * t.crowding()
 }
 
+// crowding is the factor by which the requests in flight at a target are expected to slow
+// down one more.
+func (t *target) crowding() float64 { return 1 + 0.1*float64(t.inFlight) }
+
 // recordUsage updates the state of a target from the end of a request.
 func (l *Lender) recordUsage(now time.Duration, lease *slotLease, u Usage) {
 	t := lease.target
 	t.slowness.recordReport(now, u.Load)
+	l.spillover.noteUsage(now, l.expectedWork(lease.Route), lease, u)
 	switch u.Result {
 	case Answered, Failed:
 		l.updateWork(lease, u)
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -109,6 +109,7 @@
 	startedAt        time.Duration
 	claimingAsDeputy atomic.Bool
 	writingAgain     atomic.Bool // set while writeAgain runs
+	localityMetrics  []string    // names of the metrics of reportLocality; used by run only
 	// support tracks the leases of the VMs that support this leader. mu guards
 	// support, proposedAt and lastHandoverAttempt.
 	support             support.Leader
@@ -118,7 +119,9 @@
 
 func (s *Service) newLeadership(service string, m *keyspace.Manager) *leadership {
 	c, _ := s.view.Cell(service)
-	l := &leadership{lenderDriver: newLenderDriver(s, service, s.retry.leaderConfig()), s: s, done: make(chan struct{}), hold: c.GrantHold()}
+	cfg := s.retry.leaderConfig()
+	cfg.Spillover = s.spillover
+	l := &leadership{lenderDriver: newLenderDriver(s, service, cfg), s: s, done: make(chan struct{}), hold: c.GrantHold()}
 	l.keys, l.startedAt = m, l.now()
 	if m != nil {
 		l.load = keyspace.NewLoad(l.now())
@@ -129,6 +132,7 @@
 // run lends slots and manages the keys of the cell until ctx ends.
 func (l *leadership) run(ctx context.Context) {
 	defer close(l.done)
+	defer l.removeLocalityMetrics()
 	if l.keys != nil {
 		go l.supportLoop(ctx)
 	}
@@ -193,6 +197,7 @@
 // nothing. In an overload most lines of single refusals exceed the log's rate limit.
 func (l *leadership) summarize(now time.Duration) {
 	c, keys := l.counts(now)
+	l.reportLocality(c.Locality)
 	if c.Lent == 0 && len(c.Refused) == 0 {
 		return
 	}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -21,6 +21,7 @@
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/keyspace"
 	"github.com/mangogate/mangogate/core/lending"
+	"github.com/mangogate/mangogate/core/locality"
 	"github.com/mangogate/mangogate/core/support"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/panics"
@@ -64,6 +65,8 @@
 	started     time.Duration // reading of clock when the process started
 	peers       *peer.Client
 	retry       RetryLimits
+	spillover   *locality.Config // nil unless spillover between data centres is enabled
+	registry    metrics.Registry
 	logger      hclog.Logger
 	guard       *panics.Guard
 	lastID      atomic.Uint64
@@ -104,6 +107,9 @@
 	Peers     *peer.Client
 	Server    *peer.Server
 	Retry     RetryLimits
+	// Spillover lets the leaders decide which requests leave their data centre; nil leaves
+	// that to a constant penalty.
+	Spillover *locality.Config
 	Logger    hclog.Logger
 	Registry  metrics.Registry
 }
@@ -112,6 +118,7 @@
 func New(c Config) (*Service, error) {
 	s := &Service{
 		self: c.Self, view: c.View, store: c.Store, keyCaller: c.KeyCaller, clock: c.Clock, started: c.Clock.Now(), peers: c.Peers, retry: c.Retry, logger: c.Logger,
+		spillover: c.Spillover, registry: c.Registry,
 		guard:       panics.New(c.Logger, c.Registry),
 		claims:      metrics.GetOrRegisterCounter("cell.claims", c.Registry),
 		localLends:  metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -395,7 +395,7 @@
 	}
 	q.answeredAt[slot.Address] = true
 	info := q.g.codec.FromTarget(answer.Status, answer.Header)
-	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Load: info.Load}
+	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Bytes: int64(len(q.body) + len(answer.Body)), Load: info.Load}
 	switch {
 	case info.WrongOwner:
 		usage.Result = lending.WrongOwner
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/core/locality"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/exporter"
@@ -49,6 +50,9 @@
 	// Revocation is the time after which a removed key of a workspace must not work on any
 	// VM; 0 means that there is no such time.
 	Revocation time.Duration
+	// Spillover enables the decision which requests leave their data centre. If it is nil,
+	// other data centres cost a constant penalty.
+	Spillover *locality.Config
 }
 
 // Adapter provides the parts that depend on the platform on which the router
@@ -97,7 +101,7 @@
 	client.LocalAddr, client.Options = local, peer.Options{Connections: 1, NoPings: true}
 	cells, err := cell.New(cell.Config{
 		Self: self, View: v, Store: store, KeyCaller: a.KeyCaller(r.newTargetClient(local, keyCallAnswerMemory)), Clock: c, Peers: client, Server: server,
-		Retry: s.Retry, Logger: r.logger.Named("cell"), Registry: r.registry,
+		Retry: s.Retry, Spillover: s.Spillover, Logger: r.logger.Named("cell"), Registry: r.registry,
 	})
 	if err != nil {
 		return err
