Estimates of work do not drift at targets that report no slowdown

Cause: answers tell only the product of a route's work and a target's slowness. Without reports the two drift apart: after 6,000 answers the work of a route of 200 ms was taken for 117 ms and all targets for slow, so that requests were admitted that would be late. Change: the mean slowness of targets that report none is kept at 1 (core/lending/centre.go). Services whose targets report their slowdown are decided as before.

--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -130,6 +130,7 @@
 	recentRefusals map[quarantine.Fingerprint]refusal
 	decisions      []Decision
 	targetsSet     bool
+	centredAt      time.Duration // last call of centreSlowness
 
 	lentCount    int // since the last TakeCounts, like refusedCount
 	refusedCount map[Reason]int
@@ -269,6 +270,7 @@
 // time, and lends slots that became free by the passing of time.
 func (l *Lender) Tick(now time.Duration) {
 	l.expireLeases(now)
+	l.centreSlowness(now)
 	l.recheckQueues(now)
 	l.expireRefusals(now)
 }
