--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -136,6 +136,7 @@
 	recentRefusals map[quarantine.Fingerprint]refusal
 	decisions      []Decision
 	targetsSet     bool
+	centredAt      time.Duration // last call of centreSlowness
 
 	lentCount    int // since the last TakeCounts, like refusedCount
 	refusedCount map[Reason]int
@@ -279,6 +280,7 @@
 func (l *Lender) Tick(now time.Duration) {
 	l.expireLeases(now)
 	l.updateShares(now, false)
+	l.centreSlowness(now)
 	l.recheckQueues(now)
 	l.expireRefusals(now)
 }
