Lend locally by a share of what the leader lent before

A VM that reaches no leader lent one slot of each target, however many VMs did the same. 68 VMs sent 68 requests at once for a hot key to a target with 3 slots and a queue of 12.

A VM now remembers at which rate the leader lent it slots, in all and of each target, and lends at those rates by token buckets. Of targets that it did not use, all VMs together may use half of the capacity. A refusal by the leader takes a token, so that targets with hot keys get only the rate of before. Without a history the VMs' first tokens are spread over the time in which one accrues; where a target has a slot for each VM, nothing is limited. A request whose slot is free at once is lent it although it waited for the silent leader. Local lenders are ticked only for 10 s after their last use. One log line tells when local lending begins, and at what rate.

The tests of recorded owners now state 3 VMs, since an unknown number of VMs gives no slot at once; what they check is unchanged.

Not bounded: a key that becomes hot while the VMs already lend locally.

--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -107,11 +107,14 @@
 
 // Config holds the limits of a Lender.
 type Config struct {
-	// SlotsPerTarget caps the requests in flight at each target; 0 means that only
-	// the target's own slots limit them. VMs that reach no leader set it, so that
-	// together they do not overload a target.
+	// SlotsPerTarget is set by VMs that reach no leader: the least number of requests that
+	// they may have in flight at a target. More of them are limited by localShare, so that
+	// such VMs together do not overload a target. 0 means that only the target's own slots
+	// limit the requests.
 	SlotsPerTarget int
-	Budget         retry.BudgetConfig
+	// VMs is the number of VMs that may lend locally at once; 0 if unknown.
+	VMs    int
+	Budget retry.BudgetConfig
 }
 
 // Lender decides which request is sent to which target and when. It is not safe
@@ -130,6 +133,7 @@
 	recentRefusals map[quarantine.Fingerprint]refusal
 	decisions      []Decision
 	targetsSet     bool
+	local          *localShare // nil unless this VM lends locally
 
 	lentCount    int // since the last TakeCounts, like refusedCount
 	refusedCount map[Reason]int
@@ -165,8 +169,13 @@
 // New returns a lender without targets. owner returns the ownership of a key; it is
 // nil for services without keys.
 func New(cfg Config, rng *rand.Rand, owner func(now time.Duration, key int) Ownership) *Lender {
+	var local *localShare
+	if cfg.SlotsPerTarget > 0 {
+		local = newLocalShare(cfg.VMs, rng.Float64)
+	}
 	return &Lender{
-		cfg: cfg, rng: rng, owner: owner,
+		local: local,
+		cfg:   cfg, rng: rng, owner: owner,
 		targets: map[string]*target{}, leases: map[uint64]*slotLease{}, routes: map[string]*routeStats{},
 		budget:         retry.NewBudget(cfg.Budget, 0),
 		suspects:       quarantine.New(quarantine.DefaultConfig()),
@@ -253,6 +262,9 @@
 // RequestSlot decides on a request at once or puts it into a queue. TakeDecisions
 // returns the decision.
 func (l *Lender) RequestSlot(now time.Duration, r Request) {
+	if l.local != nil {
+		l.local.freeze(now)
+	}
 	if d, refuse := l.admit(now, &r); refuse {
 		l.refuse(now, &r, d)
 		return
--- a/core/lending/lending_test.go
+++ b/core/lending/lending_test.go
@@ -598,7 +598,7 @@
 
 // Guards against an overload of the target of a hot key while many VMs reach no leader
 // and lend its slots by themselves: together they must not send more than the target
-// runs and queues. Known to fail, see KNOWN-RED.txt.
+// runs and queues.
 func TestHotKeyOfManyVMsWithoutLeaderFitsItsTarget(t *testing.T) {
 	const vms, slots, queued = 68, 3, 12
 	owner := func(time.Duration, int) Ownership { return Ownership{Target: "t0", State: Held} }
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -132,7 +132,7 @@
 		return Decision{Reason: reason, RetryAfter: wait}, true
 	}
 	done := now + wait + l.expectedWork(r.Route)
-	if done > l.answerCutoff(r) {
+	if done > l.answerCutoff(r) && !(l.local != nil && wait == 0 && done <= r.Deadline) {
 		return Decision{Reason: Overload, RetryAfter: wait}, true
 	}
 	return Decision{}, false
@@ -168,7 +168,7 @@
 	if ahead == 0 && free {
 		return 0, ""
 	}
-	return time.Duration(float64(ahead+l.expectedWork(r.Route)) / slots), ""
+	return max(time.Duration(float64(ahead+l.expectedWork(r.Route))/slots), l.localWait(now, nil)), ""
 }
 
 // expectedOwnerWait is expectedWait for a request whose key binds it to one
@@ -191,7 +191,7 @@
 		return 0, ""
 	}
 	slots := max(1, l.slotsOf(now, t))
-	return time.Duration(float64(ahead+l.expectedWork(r.Route)) * t.slowness.usually() / float64(slots)), ""
+	return max(time.Duration(float64(ahead+l.expectedWork(r.Route))*t.slowness.usually()/float64(slots)), l.localWait(now, t)), ""
 }
 
 // enqueue puts a request into the queue of the owner of its key, or into the
@@ -341,6 +341,7 @@
 // lendSlot grants a request a lease on a slot of a target.
 func (l *Lender) lendSlot(now time.Duration, r *Request, t *target) {
 	t.takeSlot(now)
+	l.takeLocal(now, t)
 	l.lentCount++
 	l.leases[r.ID] = &slotLease{Request: *r, target: t, sentAt: now}
 	l.decisions = append(l.decisions, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
--- a/core/lending/recordedowners_test.go
+++ b/core/lending/recordedowners_test.go
@@ -22,7 +22,7 @@
 func lenderWithRecordedOwners(owners *RecordedOwners, leaderEnded bool) *Lender {
 	targets := pool(20)
 	cfg := testConfig()
-	cfg.SlotsPerTarget, cfg.Budget.Burst = 1, 1
+	cfg.SlotsPerTarget, cfg.VMs, cfg.Budget.Burst = 1, 3, 1 // one slot for each VM fits the targets
 	return newLender(cfg, func(now time.Duration, key int) Ownership {
 		return owners.Owner(now, targets[key].ID, leaderEnded)
 	}, targets...)
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -112,8 +112,8 @@
 // slotsOf returns the number of requests that may be in flight at a target now.
 func (l *Lender) slotsOf(now time.Duration, t *target) int {
 	slots := t.Slots
-	if l.cfg.SlotsPerTarget > 0 {
-		slots = min(slots, l.cfg.SlotsPerTarget)
+	if l.local != nil {
+		slots = min(slots, l.localSlots(now, t))
 	}
 	if t.cold(now) {
 		slots = min(slots, coldSlots)
@@ -123,7 +123,7 @@
 
 // hasRoom reports whether one more request may be sent to a target now.
 func (l *Lender) hasRoom(now time.Duration, t *target) bool {
-	if t.inFlight >= l.slotsOf(now, t) || now < t.fullUntil {
+	if t.inFlight >= l.slotsOf(now, t) || now < t.fullUntil || !l.localAllows(now, t) {
 		return false
 	}
 	if !t.cold(now) {
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -115,6 +115,9 @@
 			return Slot{}, noLeader
 		}
 		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
+		if r.reply.Leads {
+			s.localLender(a.Service).noteDecision(a, c, r.reply.Decision)
+		}
 		return slot(r), s.handleLendReply(vm, c, r.reply)
 	case <-silent:
 		go returnLate()
@@ -165,19 +168,28 @@
 	s.lastHeard[id+boot] = min(s.lastHeard[id+boot], s.clock.Now()-leaderTimeout)
 }
 
-// lendLocally lets this VM lend a slot itself, within the limits of localConfig.
+// lendLocally lets this VM lend a slot itself, within its share of the slots (see
+// lending.Config.SlotsPerTarget).
 func (s *Service) lendLocally(ctx context.Context, a LendArgs) (Slot, error) {
 	s.localLends.Inc(1)
+	d := s.localLender(a.Service)
+	d.noteUse()
+	dec, err := d.requestSlot(ctx, a)
+	return Slot{Decision: dec, service: a.Service, lenderDriver: d, DecidedBy: s.self.ID}, err
+}
+
+// localLender returns the lender with which this VM lends slots of a service locally, and
+// which remembers what the leader lent to it.
+func (s *Service) localLender(service string) *lenderDriver {
 	s.mu.Lock()
-	d := s.localLenders[a.Service]
+	defer s.mu.Unlock()
+	d := s.localLenders[service]
 	if d == nil {
-		d = newLenderDriver(s, a.Service, s.retry.localConfig())
-		d.coldShare = 1 / float64(max(1, len(s.view.VMs())))
-		s.localLenders[a.Service] = d
+		d = newLenderDriver(s, service, s.retry.localConfig(len(s.view.VMs())))
+		d.lendsLocally = true
+		s.localLenders[service] = d
 	}
-	s.mu.Unlock()
-	dec, err := d.requestSlot(ctx, a)
-	return Slot{Decision: dec, service: a.Service, lenderDriver: d, DecidedBy: s.self.ID}, err
+	return d
 }
 
 // Return returns a slot to the VM that lent it, and reports how the request ended. The
@@ -188,6 +200,9 @@
 		slot.lenderDriver.returnSlot(u)
 		return
 	}
+	if u.Result == lending.Answered {
+		s.localLender(slot.service).noteWork(u.Took)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, returnTimeout)
 		defer cancel()
--- a/node/cell/lenderdriver.go
+++ b/node/cell/lenderdriver.go
@@ -41,6 +41,10 @@
 	redirect       chan struct{} // closed and replaced to make the waiting requests ask the leader
 	closed         chan struct{} // closed when no more decisions are made
 	closing        sync.Once
+	// lendsLocally tells that this VM lends to its own requests only. mu guards usedAt, the
+	// time of the last such request; 0 if there was none.
+	lendsLocally bool
+	usedAt       time.Duration
 }
 
 // errAskLeader means that this lenderDriver does not decide on the request. The request
@@ -222,6 +226,50 @@
 	d.deliver()
 }
 
+// localIdlePeriod is for how long after its last request a local lender is ticked, so that
+// its queue, leases and refusals end. VMs whose leaders answer then do no work for it.
+const localIdlePeriod = 10 * time.Second
+
+// noteUse records that a request is lent a slot locally, and logs the first one.
+func (d *lenderDriver) noteUse() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	if d.usedAt == 0 || now-d.usedAt > localIdlePeriod {
+		d.refresh(now)
+		d.logger.Info("lends slots locally: no leader answers", "rate", d.lender.LocalRate(now), "vms", len(d.view.VMs()))
+	}
+	d.usedAt = now
+}
+
+// tickIfUsed is tick if this local lender was used within localIdlePeriod.
+func (d *lenderDriver) tickIfUsed() {
+	d.mu.Lock()
+	used := d.usedAt > 0 && d.now()-d.usedAt <= localIdlePeriod
+	d.mu.Unlock()
+	if used {
+		d.tick()
+	}
+}
+
+// noteDecision records the leader's decision on a request of this VM.
+func (d *lenderDriver) noteDecision(a LendArgs, c *fleet.Cell, dec lending.Decision) {
+	target := dec.Target
+	if !dec.Lent && a.Key != lending.NoKey {
+		target = recordedOwner(c, a.Key)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lender.NoteDecision(d.now(), target, dec.Lent)
+}
+
+// noteWork records how long a request ran for which the leader lent the slot.
+func (d *lenderDriver) noteWork(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lender.NoteWork(took)
+}
+
 // noteWrongOwner records that a target rejected a request because it does not hold
 // the request's key. It is called with mu held.
 func (d *lenderDriver) noteWrongOwner(now time.Duration, key int, target string) {
@@ -253,6 +301,11 @@
 	d.targetsVersion = version
 	cfg, _ := d.view.Config()
 	svc, _ := cfg.Service(d.service)
+	if d.lendsLocally {
+		vms := max(1, len(d.view.VMs()))
+		d.coldShare = 1 / float64(vms)
+		d.lender.SetVMs(vms)
+	}
 	var infos []lending.TargetInfo
 	for _, t := range d.view.TargetsOf(d.service) {
 		if !t.Usable {
@@ -282,8 +335,8 @@
 
 // localConfig returns the limits of a VM that lends locally. They are low enough for
 // all VMs together to stay within the slots and the queue of a target.
-func (r RetryLimits) localConfig() lending.Config {
-	return lending.Config{SlotsPerTarget: 1, Budget: retry.BudgetConfig{Share: localShareFraction * r.Share, Burst: localRetryBurst}}
+func (r RetryLimits) localConfig(vms int) lending.Config {
+	return lending.Config{SlotsPerTarget: 1, VMs: vms, Budget: retry.BudgetConfig{Share: localShareFraction * r.Share, Burst: localRetryBurst}}
 }
 
 // leaderConfig returns the limits of a VM that leads a cell.
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -435,7 +435,7 @@
 		if vm, _, ok := s.currentLeader(service); ok && s.heardRecently(vm.ID, vm.Boot) {
 			d.redirectWaiting()
 		}
-		d.tick()
+		d.tickIfUsed()
 	}
 }
 
