Allowances: fewer reports for workspaces beyond their limit

Change: the time of a refusal grows with the VMs that ask in vain; demand ends with the requests. Tests of returned, late and repeated messages, and of shares that two granters might count.

--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -40,6 +40,7 @@
 	due     bool     // a request waits for a report
 	again   bool     // a report is due at once
 	reports int
+	ended   int           // reports that were answered or given up
 	sentAt  time.Duration // of the last report
 }
 
@@ -109,6 +110,7 @@
 			}
 			s.send(to.number, vm.number, func() {
 				if vm.spender == spender {
+					vm.ended++
 					vm.again = vm.spender.HandleReply(s.clock(vm), reply) || vm.again
 				}
 			})
@@ -135,6 +137,7 @@
 				continue
 			}
 			vm.spender.ReportEnded()
+			vm.ended++
 		}
 		if vm.due && s.now >= vm.sentAt+LeastInterval || vm.again || vm.spender.ReportIn(s.clock(vm)) == 0 {
 			s.report(vm)
@@ -184,6 +187,7 @@
 		late := max(0, rapid.Float64Range(-0.1, 0.1).Draw(t, "late"))
 		faults := rapid.Float64Range(0, 0.01).Draw(t, "faults per step")
 		refunds := max(0, rapid.Float64Range(-0.2, 0.2).Draw(t, "refunds"))
+		switches := rapid.Float64Range(0, 0.05).Draw(t, "changes of the reader per step")
 		load := rapid.Float64Range(2, 8).Draw(t, "load")
 		everywhere := rapid.Bool().Draw(t, "callers use all VMs")
 		bounds := Bounds{Window: 5 * time.Second, Over: 0.1, Slack: rapid.Float64Range(2, 20).Draw(t, "slack")}
@@ -199,6 +203,9 @@
 			return time.Duration(random.Int63n(int64(20 * ms)))
 		}
 		s.lead(s.vms[0])
+		if vms > 1 && rapid.Bool().Draw(t, "two granters") {
+			s.lead(s.vms[1])
+		}
 		const step, length = 10 * ms, 20 * time.Second
 		reduceAt := length / 3
 		received := make([]time.Duration, vms) // when the VMs receive the lower limit
@@ -233,7 +240,7 @@
 					idleUntil = s.now + time.Duration(random.Int63n(int64(2*time.Second)))
 				}
 			}
-			if random.Float64() < 2*faults { // VMs differ in which one they take for the reader
+			if random.Float64() < switches { // VMs differ in which one they take for the reader
 				vm, reader := s.vms[random.Intn(vms)], random.Intn(vms)
 				if s.vms[reader].granter != nil || random.Intn(10) == 0 {
 					vm.asks = reader
@@ -292,6 +299,7 @@
 		vm    *simulatedVM
 		l     *load
 		until time.Duration
+		ended int // vm.ended at the last Take
 	}
 	var waits []waiting
 	for end := s.now + length; s.now < end; {
@@ -305,24 +313,28 @@
 				case Denied:
 					l.lost++
 				case Ask:
-					waits = append(waits, waiting{vm, l, s.now + 300*ms})
+					waits = append(waits, waiting{vm, l, s.now + reportTimeout, vm.ended})
 				}
 			}
 		}
-		// Only the outcome after the reply to the present report counts.
-		waits = slices.DeleteFunc(waits, func(w waiting) bool {
-			if w.vm.spender.awaiting && s.now < w.until || w.vm.due {
-				return false
+		kept := waits[:0]
+		for _, w := range waits {
+			if w.ended != w.vm.ended {
+				w.ended = w.vm.ended
+				if _, o := s.take(w.vm, w.l.workspace, true); o != Ask {
+					if o == Denied {
+						w.l.lost++
+					}
+					continue
+				}
 			}
-			switch _, o := s.take(w.vm, w.l.workspace, true); {
-			case o == Taken:
-				return true
-			case o == Denied || s.now >= w.until:
+			if s.now >= w.until {
 				w.l.lost++
-				return true
+				continue
 			}
-			return false
-		})
+			kept = append(kept, w)
+		}
+		waits = kept
 	}
 }
 
@@ -348,8 +360,14 @@
 // refusals below the limit, against a workspace that gets less than its allowance, and
 // against reports that grow with the load.
 func TestOneWorkspaceAtSevenTimesItsLoad(t *testing.T) {
+	for seed := range int64(5) {
+		testOneWorkspaceAtSevenTimesItsLoad(t, seed)
+	}
+}
+
+func testOneWorkspaceAtSevenTimesItsLoad(t *testing.T, seed int64) {
 	const vms = 40
-	s := newSimulation(rand.New(rand.NewSource(1)), usualBounds, vms, map[string]Limit{
+	s := newSimulation(rand.New(rand.NewSource(seed)), usualBounds, vms, map[string]Limit{
 		"greedy": {Rate: 100, Burst: 50}, "all": {Rate: 100, Burst: 50}, "few": {Rate: 200, Burst: 100}, "moving": {Rate: 60, Burst: 30}, "small": {Rate: 10, Burst: 5},
 	})
 	s.lead(s.vms[0])
@@ -439,3 +457,142 @@
 		require.Equal(t, Ask, o)
 	}
 }
+
+// support makes a VM support the granter.
+func support(g *Granter, s *Spender, now time.Duration) {
+	for range 2 {
+		_, r := s.Report(now, VMOf(g.ID()))
+		s.HandleReply(now, g.Handle(now, r))
+	}
+}
+
+// newPair returns a granter that the spender of its VM supports at the time now, with full
+// buckets.
+func newPair(l Limit) (g *Granter, s *Spender, now time.Duration) {
+	limits := map[string]Limit{"w": l}
+	g, s = NewGranter("v", "b", 1, usualBounds), NewSpender(0, "v", "b", usualBounds)
+	g.Configure(0, limits, 1)
+	s.Configure(0, limits, 1)
+	for now = supportTime; now < 20*time.Second; now += 100 * ms {
+		support(g, s, now)
+	}
+	return g, s, now
+}
+
+func want(vm string, number uint64, waiting, ahead int, back ...Returned) Report {
+	return Report{VM: vm, Process: "b", Number: number, Wants: []Want{{Workspace: "w", Waiting: waiting, Ahead: ahead, Returned: back}}}
+}
+
+// Guards against a bucket that holds more than its capacity: tokens that were out while it
+// was full come back once it has been emptied.
+func TestReturnedTokensDoNotAddToTheCapacity(t *testing.T) {
+	g, _, now := newPair(Limit{Rate: 100, Burst: 100})
+	require.Equal(t, 50, g.Handle(now, want("a", 1, 50, 0)).Grants[0].Tokens)
+	for range 5 {
+		now += 100 * ms / 2
+		g.Handle(now, want("c", uint64(now), 0, 0)) // the bucket is full again after 0.5 s
+	}
+	now += 40 * ms
+	emptied := g.Handle(now, want("b", 1, 1000, 0)).Grants[0].Tokens
+	again := g.Handle(now, want("a", 2, 1000, 0, Returned{1, 50})).Grants[0].Tokens
+	assert.LessOrEqual(t, 50+emptied+again-50, int(usualBounds.capacity(Limit{100, 100}))+1)
+}
+
+// Guards against tokens that are returned twice, more than were granted, or too late.
+func TestTokensAreReturnedOnce(t *testing.T) {
+	g, s, now := newPair(Limit{Rate: 10, Burst: 200})
+	for now < 25*time.Second { // empty for longer than the bucket remembers
+		now += 10 * ms
+		support(g, s, now)
+		g.Handle(now, want("b", uint64(now), 1000, 0))
+	}
+	g.buckets["w"].level = 60
+	require.Equal(t, 60, g.Handle(now, want("a", 1, 60, 0)).Grants[0].Tokens)
+	assert.Equal(t, 20, g.Handle(now, want("a", 2, 1000, 0, Returned{1, 20})).Grants[0].Tokens)
+	assert.Equal(t, 40, g.Handle(now, want("a", 3, 1000, 0, Returned{1, 1000})).Grants[0].Tokens)
+	assert.Equal(t, 0, g.Handle(now, want("a", 4, 1000, 0, Returned{1, 20})).Grants[0].Tokens)
+	now += usualBounds.Lease() + ms
+	assert.LessOrEqual(t, g.Handle(now, want("a", 5, 1000, 0, Returned{3, 40})).Grants[0].Tokens, 4)
+}
+
+// Guards against tokens that are granted or used twice, and against support that outlives
+// its time because its message was late.
+func TestLateAndRepeatedMessagesChangeNothing(t *testing.T) {
+	g, s, now := newPair(Limit{Rate: 100, Burst: 100})
+	_, outcome, _ := s.Take(now, "w", false)
+	require.Equal(t, Ask, outcome)
+	_, report := s.Report(now, "v")
+	reply := g.Handle(now, report)
+	require.Len(t, reply.Grants, 1)
+	assert.Empty(t, g.Handle(now, report).Grants, "a repeated report")
+	s.HandleReply(now, reply)
+	s.HandleReply(now, reply)
+	ticket, outcome, _ := s.Take(now, "w", true)
+	require.Equal(t, Taken, outcome)
+	_, outcome, _ = s.Take(now, "w", false)
+	assert.Equal(t, Ask, outcome, "a repeated reply")
+
+	s.accounts["w"].leases = append(s.accounts["w"].leases, lease{number: 1, expires: now + usualBounds.Lease(), tokens: 5})
+	_, outcome, _ = s.Take(now+usualBounds.Lease(), "w", false)
+	assert.Equal(t, Ask, outcome, "a lease that has ended")
+
+	_, report = s.Report(now, "v")
+	late := now + usualBounds.Lease()
+	s.HandleReply(late, g.Handle(now, report))
+	s.Refund(late, "w", ticket)
+	_, outcome, _ = s.Take(late, "w", false)
+	assert.Equal(t, Ask, outcome, "a late reply, and a refund after the lease")
+
+	_, report = s.Report(late, "v")
+	require.True(t, report.Supports)
+	late = now + 3*supportTime
+	g.Handle(late, report)
+	assert.Zero(t, g.Share(late), "a late report")
+}
+
+// Guards against a share that two granters count, or that a granter counts while the VM uses
+// it itself.
+func TestShareHasOneUser(t *testing.T) {
+	g, s, now := newPair(Limit{Rate: 100, Burst: 100})
+	other := NewGranter("o", "b", 1, usualBounds)
+	other.Configure(now, map[string]Limit{"w": {Rate: 100, Burst: 100}}, 1)
+	s.Report(now, "o") // leaves g, and is lost
+	for end := now + 3*supportTime; now < end; now += 10 * ms {
+		_, r := s.Report(now, "o")
+		s.HandleReply(now, other.Handle(now, r))
+		require.LessOrEqual(t, g.Share(now)+other.Share(now), 1.0)
+		require.False(t, s.IsOnItsOwn(now) && g.Share(now)+other.Share(now) > 0)
+	}
+	assert.Equal(t, 1.0, other.Share(now-10*ms))
+
+	restarted := NewSpender(now, "v", "b2", usualBounds)
+	restarted.Configure(now, map[string]Limit{"w": {Rate: 100, Burst: 100}}, 1)
+	again := NewGranter("n", "b", 1, usualBounds)
+	again.Configure(now, map[string]Limit{"w": {Rate: 100, Burst: 100}}, 1)
+	for end := now + 2*supportTime; now < end; now += 10 * ms {
+		_, r := restarted.Report(now, "n")
+		restarted.HandleReply(now, again.Handle(now, r))
+		require.LessOrEqual(t, again.Share(now)+other.Share(now), 1.0)
+	}
+	assert.Equal(t, 1.0, again.Share(now-10*ms))
+}
+
+// BenchmarkReport measures a report with five workspaces at a granter of 80 workspaces and 79
+// VMs, which may get several hundred a second.
+func BenchmarkReport(b *testing.B) {
+	limits := map[string]Limit{}
+	for i := range 80 {
+		limits[fmt.Sprint("workspace-", i)] = Limit{Rate: 100, Burst: 50}
+	}
+	g := NewGranter("vm0", "b", 1, usualBounds)
+	g.Configure(0, limits, 79)
+	var wants []Want
+	for i := range 5 {
+		wants = append(wants, Want{Workspace: fmt.Sprint("workspace-", i), Waiting: 1, Ahead: 3})
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * 3 * ms
+		g.Handle(now, Report{VM: fmt.Sprint("vm", i%79), Process: "b", Number: uint64(i), Granter: g.ID(), Echo: now - 100*ms, Supports: true, Wants: wants})
+	}
+}
--- a/core/allowance/granter.go
+++ b/core/allowance/granter.go
@@ -163,8 +163,8 @@
 	if tokens < w.Waiting {
 		b.short++
 		rate := max(g.bounds.rate(l)*share, g.bounds.rate(l)/float64(g.vms.value()))
-		out.RoomIn = perSecond((1-b.level)*float64(max(1, b.short, b.shortBefore)), rate)
-		out.Spacing = perSecond(float64(max(1, b.short, b.shortBefore)), rate)
+		inLine := float64(max(b.short, b.shortBefore))
+		out.RoomIn, out.Spacing = perSecond(inLine-b.level, rate), perSecond(inLine, rate)
 	}
 	return out
 }
--- a/core/allowance/spender.go
+++ b/core/allowance/spender.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -213,12 +214,18 @@
 			r.Wants = append(r.Wants, w)
 		}
 	}
+	slices.SortFunc(r.Wants, func(a, b Want) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return reader, r
 }
 
 const (
+	// shortestDenial bounds the reports of a VM for a workspace that has no room.
+	shortestDenial = 2 * LeastInterval
+	// measureInterval is the least time over which demand is measured. It is somewhat below
+	// reportInterval, so that regular reports always measure.
+	measureInterval = reportInterval * 4 / 5
 	// aheadMargin covers the variation of the requests of one interval.
-	aheadMargin = 1.3
+	aheadMargin = 1.1
 	// demandMemory is the share of the smoothed demand that an interval without requests
 	// leaves.
 	demandMemory = 0.6
@@ -230,9 +237,12 @@
 // want returns what the account needs, and gives back the tokens that it is not likely to
 // use before they expire.
 func (a *account) want(now, leaseTime time.Duration) (w Want, any bool) {
-	if passed := (now - a.measuredAt).Seconds(); passed >= reportInterval.Seconds()/2 {
+	if passed := (now - a.measuredAt).Seconds(); passed >= measureInterval.Seconds() {
 		weight := math.Pow(demandMemory, passed/reportInterval.Seconds())
 		a.demand = a.demand*weight + a.used/passed*(1-weight)
+		if a.used == 0 { // its callers may have moved to another VM
+			a.demand = 0
+		}
 		a.used, a.measuredAt = 0, now
 	}
 	need := 0
@@ -297,8 +307,9 @@
 		a.leases = append(a.leases, lease{number: s.number, expires: expires, tokens: g.Tokens})
 	}
 	if g.RoomIn > 0 {
-		// A VM does not ask again before its next report: all VMs would do so for each token.
-		a.deniedUntil, a.spacing = now+max(g.RoomIn, reportInterval*3/4), g.Spacing
+		// RoomIn grows with the number of VMs that ask in vain, so that these do not all ask
+		// for each new token.
+		a.deniedUntil, a.spacing = now+max(g.RoomIn, shortestDenial), g.Spacing
 	}
 }
 
