--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -54,6 +54,9 @@
 	// distinctPaths gives each request a path of its own. Requests that are alike are
 	// suspected, and refused, if they are in flight when several targets crash.
 	distinctPaths bool
+	// workspaces are the tenants of the configuration, if there are any. Then the settings
+	// have the bounds of workspaces.
+	workspaces []map[string]any
 
 	mu      sync.Mutex
 	targets map[string]*targetInstance
@@ -82,8 +85,13 @@
 }
 
 func newFleet(t *testing.T, binary string, seed int64, vms, keyed, pool int) *fleet {
+	return newFleetWithWorkspaces(t, binary, seed, vms, keyed, pool)
+}
+
+func newFleetWithWorkspaces(t *testing.T, binary string, seed int64, vms, keyed, pool int, workspaces ...map[string]any) *fleet {
 	f := &fleet{
-		t: t, binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d", 20+seed%200, (seed/200)%250), store: store.New(seed),
+		workspaces: workspaces,
+		t:          t, binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d", 20+seed%200, (seed/200)%250), store: store.New(seed),
 		checker: newChecker(), targets: map[string]*targetInstance{}, stop: make(chan struct{}),
 	}
 	f.store.Restore(0) // a store that was never restored is in its first era
@@ -122,11 +130,15 @@
 }
 
 func (f *fleet) writeSettings(v *vm, i int) {
+	bounds := []string{fmt.Sprintf("graceS=%g", shutdownGrace.Seconds()), "retryBudgetRatio=0.2", "budgetBurst=56"}
+	if len(f.workspaces) > 0 {
+		bounds = append(bounds, "strictRevoke=true", "revokeS=5", "quotaWindowS=5", "quotaOver=0.1", "quotaSlack=20")
+	}
 	content, err := json.Marshal(map[string]any{
 		"nodeName": v.name, "ip": v.ip, "zone": f.zone(i), "internalPorts": []int{7200, 7215},
 		"listen":   map[string]string{"front": v.ip + ":8081", "readinessAddress": v.ip + ":8088"},
 		"limits":   map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memoryMB},
-		"bounds":   []string{fmt.Sprintf("graceS=%g", shutdownGrace.Seconds()), "retryBudgetRatio=0.2", "budgetBurst=56"},
+		"bounds":   bounds,
 		"platform": map[string]any{"address": f.storeProxy.Addr()},
 	})
 	require.NoError(f.t, err)
@@ -226,12 +238,16 @@
 	for v := 2; v <= version; v += 2 {
 		routes = append(routes, route(fmt.Sprintf("v%d", v), "safe", poolService, 2))
 	}
-	f.store.Put("keyed.op", "config", map[string]any{
+	config := map[string]any{
 		"version":  version,
 		"routes":   routes,
 		"services": []any{service(keyedService, true), service(poolService, false)},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-	})
+	}
+	if len(f.workspaces) > 0 {
+		config["tenants"] = f.workspaces
+	}
+	f.store.Put("keyed.op", "config", config)
 	return version
 }
 
