Allowances: test of Retry-After, no log line at a planned change of the granter

Cause: nothing tested that there is room at the time that a refusal names; VMs logged the loss of the granter when it only changed. Change: the test; the line appears after 0.5 s.

--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -400,6 +400,44 @@
 	assert.Less(t, float64(reports)/vms/20, 12.0, "reports a second and VM")
 }
 
+// Guards against callers that come back when Retry-After tells them and are refused again
+// although nobody else took the room.
+func TestThereIsRoomAfterRetryAfter(t *testing.T) {
+	s := newSimulation(rand.New(rand.NewSource(1)), usualBounds, 3, map[string]Limit{"w": {Rate: 100, Burst: 20}})
+	s.lead(s.vms[0])
+	s.run(4 * time.Second)
+	type retry struct {
+		at time.Duration
+		vm *simulatedVM
+	}
+	var retries []retry
+	burst := &load{workspace: "w", perSecond: 1500, vms: vmsFrom(0, 3)}
+	s.run(400*ms, burst)
+	for i := range 150 {
+		vm := s.vms[i%3]
+		if _, o, after := vm.spender.Take(s.clock(vm), "w", false); o == Denied {
+			retries = append(retries, retry{s.now + after, vm})
+		}
+	}
+	require.GreaterOrEqual(t, len(retries), 50)
+	slices.SortFunc(retries, func(a, b retry) int { return int(a.at - b.at) })
+	again := 0
+	for _, r := range retries {
+		s.run(max(0, r.at-s.now))
+		back := &load{workspace: "w", perSecond: 0}
+		_, o := s.take(r.vm, "w", false)
+		for end := s.now + reportTimeout; o == Ask && s.now < end; {
+			s.run(LeastInterval+10*ms, back)
+			_, o = s.take(r.vm, "w", true)
+		}
+		if o != Taken {
+			again++
+		}
+	}
+	assert.LessOrEqual(t, again, len(retries)/50, "of %d", len(retries))
+	t.Logf("%d of %d refused again", again, len(retries))
+}
+
 // Guards against a lost granter whose successor has to wait long, and against VMs that spend
 // nothing in between.
 func TestGranterIsLost(t *testing.T) {
--- a/node/allowance/allowance.go
+++ b/node/allowance/allowance.go
@@ -35,6 +35,7 @@
 	refreshInterval = 200 * time.Millisecond
 	// limitsPollInterval is the time between two checks whether a workspace has a limit.
 	limitsPollInterval = time.Second
+	ownShareLogDelay   = 500 * time.Millisecond
 	// longestOwnShare is the age of the view up to which a VM uses its own share. Other VMs
 	// count a VM that has left for as long.
 	longestOwnShare = 10 * time.Second
@@ -190,8 +191,10 @@
 	s.logOwnShare(now)
 }
 
+// logOwnShare logs when the VM begins and stops using its own share. A change of the granter
+// as planned is too short to be logged.
 func (s *Service) logOwnShare(now time.Duration) {
-	own := s.spender.IsOnItsOwn(now) && len(s.limits) > 0
+	own := s.spender.IsOnItsOwn(now-ownShareLogDelay) && len(s.limits) > 0
 	if own == s.onItsOwn {
 		return
 	}
