--- a/core/lending/localshare.go
+++ b/core/lending/localshare.go
@@ -20,6 +20,9 @@
 	localBurstTime = time.Second
 	// minLocalBurst is the least number of requests that a VM may send at once.
 	minLocalBurst = 4.0
+	// queuePerSlot is how many requests a target holds for each slot, running or waiting, at
+	// the least. On small fleets one request of each VM fits.
+	queuePerSlot = 4
 	// unknownVMs is the number of VMs that are assumed to lend locally at once if their
 	// number is unknown: that of the largest deployments.
 	unknownVMs = 80
@@ -205,7 +208,9 @@
 
 // localLimited reports whether a target is subject to localShare: one slot for each VM may
 // exceed its slots.
-func (l *Lender) localLimited(t *target) bool { return l.local != nil && t.Slots < l.local.vms }
+func (l *Lender) localLimited(t *target) bool {
+	return l.local != nil && queuePerSlot*t.Slots < l.local.vms
+}
 
 // localSlots returns the number of requests that this VM may have in flight at a target: as
 // many as it usually had.
