--- a/cmd/mangogatectl/change.go
+++ b/cmd/mangogatectl/change.go
@@ -39,22 +39,6 @@
 	return path, doc, nil
 }
 
-// validateCommand checks an inventory file without contacting a VM.
-func validateCommand() *cli.Command {
-	return &cli.Command{
-		Name: "validate", Usage: "check an inventory file", ArgsUsage: "FILE",
-		Action: func(_ context.Context, c *cli.Command) error {
-			path, doc, err := loadInventory(c)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(c.Root().Writer, "%s is valid: %d data centres, %d services, %d targets, %d rules\n",
-				path, len(doc.DataCentres), len(doc.Services), len(doc.Targets), len(doc.Rules))
-			return nil
-		},
-	}
-}
-
 // applyCommand replaces the configuration document by an inventory file.
 func applyCommand() *cli.Command {
 	return &cli.Command{
