Drop expired requests first when a leader runs again after a pause

When a leader's process had not run for a while, the requests that arrived or expired meanwhile were decided in the order in which they came. Slots were lent to requests whose deadline had passed or whose VM had given them up, and stayed unused until the VM had returned them.

The lender refuses waiting requests that expired during a gap before it decides on others, with any of its inputs. Lend replies carry the leader's clock, and VMs tell in later calls when they were sent by that clock. A leader that was paused drops the calls that were sent during its pause and have expired, or that their VMs, which give up a silent leader after 0.8 s, do not wait for any more. Calls of earlier versions, which state no time, are decided as before. The counter cell.expired_in_pauses and a log line tell how many were dropped.

A Lend call that ended without an answer does not read the reply any more, which a late answer may still write: the race detector found this once old connections stayed open for their calls.

--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -37,6 +37,9 @@
 	Retry       bool          // the request was sent to a target before
 	Avoid       string        // target that failed an earlier attempt, or ""
 	Fingerprint quarantine.Fingerprint
+	// GiveUp is for how long the VM waits for a lender that does not answer; 0 if it waits
+	// until the deadline.
+	GiveUp time.Duration
 
 	missedObjective bool          // seen in the queue when it could no longer meet its objective
 	queuedSince     time.Duration // orders the queue: earlier than Arrived if it is the retry of a refused write
@@ -134,6 +137,9 @@
 	decisions      []Decision
 	targetsSet     bool
 	local          *localShare // nil unless this VM lends locally
+	ranAt          time.Duration
+
+	expiredInPauses int // since the last TakeExpiredInPauses
 
 	lentCount    int // since the last TakeCounts, like refusedCount
 	refusedCount map[Reason]int
@@ -262,6 +268,7 @@
 // RequestSlot decides on a request at once or puts it into a queue. TakeDecisions
 // returns the decision.
 func (l *Lender) RequestSlot(now time.Duration, r Request) {
+	l.noteRun(now)
 	if l.local != nil {
 		l.local.freeze(now)
 	}
@@ -280,6 +287,7 @@
 // Tick ends expired leases, refuses the requests that can no longer be answered in
 // time, and lends slots that became free by the passing of time.
 func (l *Lender) Tick(now time.Duration) {
+	l.noteRun(now)
 	l.expireLeases(now)
 	l.recheckQueues(now)
 	l.expireRefusals(now)
@@ -328,6 +336,7 @@
 	if !ok {
 		return
 	}
+	l.noteRun(now)
 	l.releaseSlot(u.ID, lease)
 	l.recordUsage(now, lease, u)
 	l.dispatch(now, lease.target)
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -193,6 +193,10 @@
 // nothing. In an overload most lines of single refusals exceed the log's rate limit.
 func (l *leadership) summarize(now time.Duration) {
 	c, keys := l.counts(now)
+	if n := l.takeExpiredInPauses(); n > 0 {
+		l.s.expiredInPauses.Inc(int64(n))
+		l.logger.Info("dropped waiting requests that expired while this process did not run", "requests", n)
+	}
 	if c.Lent == 0 && len(c.Refused) == 0 {
 		return
 	}
@@ -201,6 +205,12 @@
 		"keys_without_owner", keys.KeysLost, "unwritten", keys.Pending)
 }
 
+func (l *leadership) takeExpiredInPauses() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lender.TakeExpiredInPauses()
+}
+
 // counts returns the counts of the Lender since the last call and those of the keys.
 func (l *leadership) counts(now time.Duration) (c lending.Counts, keys keyspace.Counts) {
 	l.mu.Lock()
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -77,6 +77,7 @@
 		return Slot{}, noLeader
 	}
 	began := s.clock.Now()
+	a.SentAt = s.clockOf(vm)
 	silent, done := s.awaitLeader(vm, began)
 	defer done()
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
@@ -87,9 +88,12 @@
 	answered := make(chan answer, 1)
 	go func() {
 		defer cancel()
-		var r answer
-		r.err = s.peers.Call(callCtx, vm.PeerAddress, RPCName+".Lend", a, &r.reply)
-		answered <- r
+		var reply LendReply
+		if err := s.peers.Call(callCtx, vm.PeerAddress, RPCName+".Lend", a, &reply); err != nil {
+			answered <- answer{err: err} // the reply of a call that failed may still be written
+			return
+		}
+		answered <- answer{reply: reply}
 	}()
 	slot := func(r answer) Slot {
 		return Slot{Decision: r.reply.Decision, service: a.Service, leader: vm.PeerAddress, DecidedBy: vm.ID}
@@ -115,6 +119,7 @@
 			return Slot{}, noLeader
 		}
 		s.noteHeard(vm.ID, vm.Boot, vm.PeerAddress)
+		s.noteClock(vm, r.reply.Clock)
 		if r.reply.Leads {
 			s.localLender(a.Service).noteDecision(a, c, r.reply.Decision)
 		}
--- a/node/cell/lenderdriver.go
+++ b/node/cell/lenderdriver.go
@@ -128,13 +128,17 @@
 	now := d.now()
 	d.refresh(now)
 	d.waiters[id] = decision
+	giveUp := time.Duration(0)
+	if a.SentAt > 0 {
+		giveUp = leaderTimeout
+	}
 	if d.load != nil && a.Key != lending.NoKey && !a.Repeat {
 		d.load.Add(a.Key, d.lender.ExpectedWork(a.Route))
 	}
 	d.lender.RequestSlot(now, lending.Request{
 		ID: id, VM: a.VM, DataCentre: a.DataCentre, Route: a.Route, Priority: a.Priority, Idempotent: a.Idempotent,
 		Arrived: now - a.Age, Objective: now + a.Objective, Deadline: now + a.Deadline,
-		Key: a.Key, Retry: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Print,
+		Key: a.Key, Retry: a.Repeat, Avoid: a.Avoid, Fingerprint: a.Print, GiveUp: giveUp,
 	})
 	d.deliver()
 	if d.lender.Waiting() > 0 {
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -28,6 +28,10 @@
 	Repeat     bool                   // the request was sent to a target before
 	Avoid      string                 // target that failed the request, or ""
 	Print      quarantine.Fingerprint // identifies the request to the quarantine
+	// SentAt is when the call was sent, by the leader's clock as its earlier answers tell
+	// it; 0 if unknown, and from VMs of earlier versions, which do not give up a silent
+	// leader.
+	SentAt time.Duration
 }
 
 // after returns the request with its times adjusted for having waited.
@@ -48,6 +52,8 @@
 	Leads  bool
 	Moved  []view.Change
 	Deputy *DeputyArgs
+	// Clock is the reading of the clock of the VM that answers; see LendArgs.SentAt.
+	Clock time.Duration
 }
 
 // ReturnArgs returns a slot to the leader that lent it.
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -20,11 +20,18 @@
 	if a.Key != lending.NoKey && (a.Key < 0 || a.Key >= keyspace.Keys) {
 		return errors.Errorf("request %s of VM %s: the key %d is out of range", a.RequestID, a.VM, a.Key)
 	}
+	defer func() { reply.Clock = h.s.clock.Now() }()
 	l := h.s.currentLeadership(a.Service)
 	if l == nil {
 		h.s.redirectToLeader(a.Service, reply)
 		return nil
 	}
+	unread, abandoned := h.s.unread(a.SentAt)
+	if a = a.after(unread); abandoned || unread > 0 && a.Deadline <= 0 {
+		h.s.expiredInPauses.Inc(1)
+		reply.Decision, reply.Leads = lending.Decision{Reason: lending.Expired, RetryAfter: leaderTimeout, Waited: a.Age}, true
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(h.s.ctx, a.Deadline)
 	defer cancel()
 	d, err := l.requestSlot(ctx, a)
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -71,10 +71,13 @@
 	localLends metrics.Counter
 	// lendFallbacks counts the Lend calls that were given up because the leader was silent.
 	lendFallbacks metrics.Counter
-	cancelAll     context.CancelFunc
-	ctx           context.Context
-	wg            sync.WaitGroup
-	reconcileMu   sync.Mutex // held during reconcile
+	// expiredInPauses counts the requests of other VMs that were dropped because they
+	// expired while this process did not run.
+	expiredInPauses metrics.Counter
+	cancelAll       context.CancelFunc
+	ctx             context.Context
+	wg              sync.WaitGroup
+	reconcileMu     sync.Mutex // held during reconcile
 	// retiring is set once this VM may not become the leader of a cell any more.
 	retiring atomic.Bool
 
@@ -93,7 +96,11 @@
 	deputies  map[string]deputy // by service
 	// lendWaits holds the processes, by VM id and boot, for which Lend calls wait.
 	lendWaits  map[string]*lendWait
-	releasedAt time.Duration // last call of releaseWaiting
+	releasedAt time.Duration          // last call of releaseWaiting
+	clocks     map[string]clockSample // by VM id and boot
+
+	pausesMu sync.Mutex
+	pauses   lending.Pauses // of this process
 	// resigned holds the services for which this VM may have a deputy. It begins to lead
 	// none of them by a record that it wrote before, which the store may carry out late.
 	resigned map[string]bool
@@ -117,12 +124,14 @@
 func New(c Config) (*Service, error) {
 	s := &Service{
 		self: c.Self, view: c.View, store: c.Store, keyCaller: c.KeyCaller, clock: c.Clock, started: c.Clock.Now(), peers: c.Peers, retry: c.Retry, logger: c.Logger,
-		guard:         panics.New(c.Logger, c.Registry),
-		claims:        metrics.GetOrRegisterCounter("cell.claims", c.Registry),
-		localLends:    metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
-		lendFallbacks: metrics.GetOrRegisterCounter("cell.lend_fallbacks", c.Registry),
-		lendWaits:     map[string]*lendWait{},
-		leaderships:   map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
+		guard:           panics.New(c.Logger, c.Registry),
+		claims:          metrics.GetOrRegisterCounter("cell.claims", c.Registry),
+		localLends:      metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
+		lendFallbacks:   metrics.GetOrRegisterCounter("cell.lend_fallbacks", c.Registry),
+		lendWaits:       map[string]*lendWait{},
+		clocks:          map[string]clockSample{},
+		expiredInPauses: metrics.GetOrRegisterCounter("cell.expired_in_pauses", c.Registry),
+		leaderships:     map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
 		lastHeard: map[string]time.Duration{}, silentSince: map[string]time.Duration{}, lastSeenCell: map[string]*fleet.Cell{},
 		learnedFromLeader: map[string]lending.Learned{}, followers: map[string]*support.Follower{}, deputies: map[string]deputy{}, resigned: map[string]bool{},
 	}
@@ -163,6 +172,7 @@
 func (s *Service) reconcileLoop() {
 	defer s.wg.Done()
 	for s.ctx.Err() == nil {
+		s.unread(0)
 		s.reconcile()
 		s.releaseWaiting()
 		s.tickLocalLenders()
--- a/node/cell/silence.go
+++ b/node/cell/silence.go
@@ -67,3 +67,45 @@
 	defer s.mu.Unlock()
 	return s.lastHeard[vm.ID+vm.Boot] > t
 }
+
+// clockSample is how far a process's clock is ahead of this VM's, at least, and when that
+// was learned.
+type clockSample struct{ ahead, at time.Duration }
+
+// clockSampleTTL is for how long the largest clockSample counts. An answer that was read
+// late gives too small a one.
+const clockSampleTTL = 10 * time.Second
+
+// noteClock records the clock of a process that has answered now.
+func (s *Service) noteClock(vm fleet.VM, reading time.Duration) {
+	if reading == 0 { // from an earlier version
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, process := s.clock.Now(), vm.ID+vm.Boot
+	if c, known := s.clocks[process]; !known || reading-now >= c.ahead || now-c.at > clockSampleTTL {
+		s.clocks[process] = clockSample{reading - now, now}
+	}
+}
+
+// clockOf returns the reading of a process's clock now, or one that is somewhat earlier; 0
+// if it is unknown.
+func (s *Service) clockOf(vm fleet.VM) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, known := s.clocks[vm.ID+vm.Boot]
+	if !known {
+		return 0
+	}
+	return s.clock.Now() + c.ahead
+}
+
+// unread is lending.Pauses.Unread for a Lend call that is read now.
+func (s *Service) unread(sentAt time.Duration) (unread time.Duration, abandoned bool) {
+	s.pausesMu.Lock()
+	defer s.pausesMu.Unlock()
+	now := s.clock.Now()
+	s.pauses.Ran(now)
+	return s.pauses.Unread(now, sentAt, leaderTimeout)
+}
