--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -488,6 +488,8 @@
 // that outlast the bounds.
 func TestNothingIsSpentWithoutAGranter(t *testing.T) {
 	require.Equal(t, 300*ms, usualBounds.Lease())
+	require.Equal(t, "rack/v", VMOf(NewGranter("rack/v", "b", 1, usualBounds).ID()))
+	require.Empty(t, VMOf(""))
 	s := NewSpender(0, "v", "b", usualBounds)
 	s.Configure(0, map[string]Limit{"w": {Rate: 1000, Burst: 1000}}, 1)
 	for now := time.Duration(0); now < 10*time.Second; now += 100 * ms {
--- a/core/allowance/granter.go
+++ b/core/allowance/granter.go
@@ -52,10 +52,12 @@
 
 func granterPrefix(vm, boot string) string { return vm + "/" + boot + "/" }
 
-// VMOf returns the VM of a granter.
+// VMOf returns the VM of a granter. The id of a VM may contain slashes, boot and number do not.
 func VMOf(granter string) string {
-	vm, _, _ := strings.Cut(granter, "/")
-	return vm
+	for range 2 {
+		granter = granter[:max(0, strings.LastIndex(granter, "/"))]
+	}
+	return granter
 }
 
 // ReplyWithoutGranter answers a report to a VM that has no granter. A granter that this
