Allowances: bound the reports that a granter gets

Change: the least time between two reports of a VM grows with the number of VMs, 20 to 120 ms, for 800 reports a second in all.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -33,10 +33,13 @@
 	// idleInterval is the same for a VM that uses none. It leaves time for two reports
 	// before supportTime ends.
 	idleInterval = 450 * time.Millisecond
-	// LeastInterval is the least time between two reports of a VM, which makes one for all
-	// requests that wait meanwhile. Small workspaces get their tokens on demand, since most
-	// of those requested ahead at each VM would not be used.
-	LeastInterval = 50 * time.Millisecond
+	// reportsPerSecond bounds the reports that a granter gets: a VM makes one report for all
+	// requests that wait meanwhile. A report costs the two VMs some 50 us together.
+	reportsPerSecond = 800
+	// leastInterval and greatestInterval bound the time between two reports of a VM that this
+	// gives. Requests wait that long at most beside the time of the exchange.
+	leastInterval    = 20 * time.Millisecond
+	greatestInterval = 120 * time.Millisecond
 	// leaseShare is the share of Over x Window by which a token may be used later than it
 	// was granted. The rest is the depth of the bucket: without it, the tokens of a large
 	// workspace whose callers use few VMs would overflow between two of their reports.
--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -139,7 +139,7 @@
 			vm.spender.ReportEnded()
 			vm.ended++
 		}
-		if vm.due && s.now >= vm.sentAt+LeastInterval || vm.again || vm.spender.ReportIn(s.clock(vm)) == 0 {
+		if vm.due && vm.spender.MayReportIn(s.clock(vm)) == 0 || vm.again || vm.spender.ReportIn(s.clock(vm)) == 0 {
 			s.report(vm)
 		}
 	}
@@ -427,7 +427,7 @@
 		back := &load{workspace: "w", perSecond: 0}
 		_, o := s.take(r.vm, "w", false)
 		for end := s.now + reportTimeout; o == Ask && s.now < end; {
-			s.run(LeastInterval+10*ms, back)
+			s.run(leastInterval+10*ms, back)
 			_, o = s.take(r.vm, "w", true)
 		}
 		if o != Taken {
--- a/core/allowance/spender.go
+++ b/core/allowance/spender.go
@@ -219,8 +219,6 @@
 }
 
 const (
-	// shortestDenial bounds the reports of a VM for a workspace that has no room.
-	shortestDenial = 2 * LeastInterval
 	// measureInterval is the least time over which demand is measured. It is somewhat below
 	// reportInterval, so that regular reports always measure.
 	measureInterval = reportInterval * 4 / 5
@@ -309,7 +307,7 @@
 	if g.RoomIn > 0 {
 		// RoomIn grows with the number of VMs that ask in vain, so that these do not all ask
 		// for each new token.
-		a.deniedUntil, a.spacing = now+max(g.RoomIn, shortestDenial), g.Spacing
+		a.deniedUntil, a.spacing = now+max(g.RoomIn, 2*s.pause()), g.Spacing
 	}
 }
 
@@ -336,5 +334,12 @@
 // Granter returns the granter that was heard last, or "".
 func (s *Spender) Granter() string { return s.granter }
 
-// LastReport returns when the last report was made.
-func (s *Spender) LastReport() time.Duration { return s.sentAt }
+// MayReportIn returns the time until the next report may be made for requests that wait.
+func (s *Spender) MayReportIn(now time.Duration) time.Duration {
+	return max(0, s.sentAt+s.pause()-now)
+}
+
+// pause returns the least time between two reports.
+func (s *Spender) pause() time.Duration {
+	return min(greatestInterval, max(leastInterval, time.Duration(s.vms.value())*time.Second/reportsPerSecond))
+}
--- a/node/allowance/allowance.go
+++ b/node/allowance/allowance.go
@@ -223,10 +223,10 @@
 	}
 }
 
-// pauseBetweenReports waits until LeastInterval has passed since the last report.
+// pauseBetweenReports waits until the next report may be made.
 func (s *Service) pauseBetweenReports() {
 	s.mu.Lock()
-	pause := s.spender.LastReport() + allowance.LeastInterval - s.Clock.Now()
+	pause := s.spender.MayReportIn(s.Clock.Now())
 	s.mu.Unlock()
 	if pause > 0 {
 		select {
@@ -250,7 +250,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.limits) > 0 {
-		wait = max(s.spender.ReportIn(s.Clock.Now()), allowance.LeastInterval)
+		now := s.Clock.Now()
+		wait = max(s.spender.ReportIn(now), s.spender.MayReportIn(now), time.Millisecond)
 	}
 	return wait
 }
