--- a/core/allowance/allowance_test.go
+++ b/core/allowance/allowance_test.go
@@ -139,7 +139,7 @@
 			vm.spender.ReportEnded()
 			vm.ended++
 		}
-		if vm.due && s.now >= vm.sentAt+LeastInterval || vm.again || vm.spender.ReportIn(s.clock(vm)) == 0 {
+		if vm.due && vm.spender.MayReportIn(s.clock(vm)) == 0 || vm.again || vm.spender.ReportIn(s.clock(vm)) == 0 {
 			s.report(vm)
 		}
 	}
@@ -427,7 +427,7 @@
 		back := &load{workspace: "w", perSecond: 0}
 		_, o := s.take(r.vm, "w", false)
 		for end := s.now + reportTimeout; o == Ask && s.now < end; {
-			s.run(LeastInterval+10*ms, back)
+			s.run(leastInterval+10*ms, back)
 			_, o = s.take(r.vm, "w", true)
 		}
 		if o != Taken {
@@ -488,6 +488,8 @@
 // that outlast the bounds.
 func TestNothingIsSpentWithoutAGranter(t *testing.T) {
 	require.Equal(t, 300*ms, usualBounds.Lease())
+	require.Equal(t, "rack/v", VMOf(NewGranter("rack/v", "b", 1, usualBounds).ID()))
+	require.Empty(t, VMOf(""))
 	s := NewSpender(0, "v", "b", usualBounds)
 	s.Configure(0, map[string]Limit{"w": {Rate: 1000, Burst: 1000}}, 1)
 	for now := time.Duration(0); now < 10*time.Second; now += 100 * ms {
