Hand the cell of a busy leader over to a larger VM

A leader kept its cell however busy it was, until the other VMs took it for lost and all lent locally.

A leader samples its processor time, the bytes on the connections between VMs and the lag of its loop. core/saturation decides, with the time as an argument: 70 % of a resource, or half of the processor time with a lag of 50 ms, for 2 s, at the earliest 10 s after it began to lead. The cell goes to a VM with 1.5 times that resource and no less of the other, that reaches the store, by the existing handover. Such moves only go to larger VMs, so a cell does not come back; attempts that fail are repeated after 10 s, then twice as long each time, up to 2 min. Fleets of equal VMs take no samples.

--- a/core/lending/counts.go
+++ b/core/lending/counts.go
@@ -16,6 +16,9 @@
 	Slots, InFlight           int
 }
 
+// Open returns the number of requests that wait or hold a slot.
+func (l *Lender) Open() int { return l.queued + len(l.leases) }
+
 // TakeCounts returns the counts and resets Lent and Refused.
 func (l *Lender) TakeCounts(now time.Duration) Counts {
 	c := Counts{Lent: l.lentCount, Refused: l.refusedCount, Waiting: l.queued}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -99,6 +99,8 @@
 	releasedAt time.Duration          // last call of releaseWaiting
 	clocks     map[string]clockSample // by VM id and boot
 
+	load *loadMonitor
+
 	pausesMu sync.Mutex
 	pauses   lending.Pauses // of this process
 	// resigned holds the services for which this VM may have a deputy. It begins to lead
@@ -129,6 +131,7 @@
 		localLends:      metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
 		lendFallbacks:   metrics.GetOrRegisterCounter("cell.lend_fallbacks", c.Registry),
 		lendWaits:       map[string]*lendWait{},
+		load:            newLoadMonitor(c.Registry),
 		clocks:          map[string]clockSample{},
 		expiredInPauses: metrics.GetOrRegisterCounter("cell.expired_in_pauses", c.Registry),
 		leaderships:     map[string]*leadership{}, localLenders: map[string]*lenderDriver{}, claiming: map[string]bool{},
@@ -173,9 +176,12 @@
 	defer s.wg.Done()
 	for s.ctx.Err() == nil {
 		s.unread(0)
+		s.load.noteRun(s.clock.Now())
 		s.reconcile()
 		s.releaseWaiting()
 		s.tickLocalLenders()
+		s.checkLoad()
+		s.load.dueAt = s.clock.Now() + reconcileInterval
 		time.Sleep(reconcileInterval)
 	}
 }
