--- a/core/lending/counts.go
+++ b/core/lending/counts.go
@@ -19,6 +19,9 @@
 	Locality []LocalityCounts
 }
 
+// Open returns the number of requests that wait or hold a slot.
+func (l *Lender) Open() int { return l.queued + len(l.leases) }
+
 // TakeCounts returns the counts and resets those since the last call.
 func (l *Lender) TakeCounts(now time.Duration) Counts {
 	c := Counts{Lent: l.lentCount, Refused: l.refusedCount, Waiting: l.queued, Locality: l.spillover.takeCounts()}
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -82,7 +82,11 @@
 }
 
 func (l *Lender) expectedWork(route string) time.Duration {
+	if l.lastStats != nil && route == l.lastRoute {
+		return l.lastStats.work
+	}
 	if s := l.routes[route]; s != nil {
+		l.lastRoute, l.lastStats = route, s
 		return s.work
 	}
 	return defaultWork
@@ -169,7 +173,7 @@
 // bestOf returns the target with the least expectedTime for a request among those with
 // a free slot that a condition admits, or nil.
 func (l *Lender) bestOf(now time.Duration, r *Request, admits func(*target) bool) (best *target, bestTime float64) {
-	for _, t := range l.targets {
+	for _, t := range l.targetList {
 		if !t.available(now) || !l.hasRoom(now, t) || !admits(t) {
 			continue
 		}
