Tests of callers outside the limits, with a VM's process

Cause: nothing bounds the bodies of requests that a process holds, nor its connections from callers. readBody holds each body whole, and encode makes a second copy.

Change: cmd/hostile starts one VM with the store and target stand-ins for each case, lets a crowd of callers misbehave (40 callers, 200 for connections; memoryMb 144, maxFds 128, maxBodyBytes 8 MiB), and checks that the process lives, that its peak resident memory stays within memoryMb and its descriptors within maxFds, and that an ordinary request is answered while the crowd keeps its connections open. The product is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	go test -skip '$(KNOWN_RED)' $(UNITS)
 	go test -count=1 -timeout 30m -skip '$(KNOWN_RED)' ./cmd/integration
 	go test -count=1 -timeout 10m $(if $(KNOWN_RED_SUBTESTS),-skip '$(KNOWN_RED_SUBTESTS)') ./cmd/soak
+	go test -count=1 -timeout 5m ./cmd/hostile
 
 known-red: ## Runs the tests that are known to fail.
 	@failed=0; \
