One budget for bodies, a limit of connections, deadlines by progress

Cause: readBody held each body whole without a bound on their sum, encode made a second copy to send it, and nothing kept callers from taking all descriptors.

Change: node/bodies counts the bytes of bodies and answers of a process against one budget, taken before they are read; core/bodies decides which body gives up (without progress first). Bodies are kept in pieces and written to the target from them. Answers count in the same budget. A body that gives up, that stops, or that is late is refused with 503 and Retry-After. Callers get half of limits.maxFds; beyond it, a connection without a request is closed, or the new one is refused with 503. A caller has to take 64 KiB of an answer within 10 s.

upstream.Request.Body is a list of pieces now; TestAnswerCutOff's request passes one piece. fingerprint hashes the same bytes as before.

The deadline for callers that do not read has no unit test.

--- a/node/gateway/drainlistener.go
+++ b/node/gateway/drainlistener.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -20,6 +21,8 @@
 // drain accepts them first.
 type drainListener struct {
 	*net.TCPListener
+	// admit reports whether a new connection is served. If it is nil, all are.
+	admit    func() bool
 	mu       sync.Mutex
 	draining bool
 	quiet    time.Duration // how long drain waits for one more connection
@@ -58,6 +61,10 @@
 		switch {
 		case err == nil:
 			l.waitForOneMore()
+			if l.admit != nil && !l.admit() {
+				refuseConn(c)
+				continue
+			}
 			return &callerConn{TCPConn: c}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
@@ -72,6 +79,37 @@
 	}
 }
 
+// tooManyConnections is what a caller reads for whom no connection is left. Nothing of its
+// request has been read.
+const tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuseConn answers and closes a new connection. The answer fits into the empty send
+// buffer, so the write does not block.
+func refuseConn(c *net.TCPConn) {
+	_, _ = io.WriteString(c, tooManyConnections) // the caller may have closed the connection
+	c.Close()
+}
+
+const (
+	// writeStall is how long a caller may take to read writePiece bytes of an answer. Both
+	// are far below what the slowest link of a caller carries.
+	writeStall = 10 * time.Second
+	writePiece = 64 << 10
+)
+
+// Write writes b in pieces, each of which the caller has to take within writeStall:
+// callers that do not read must not hold the memory of their answers.
+func (c *callerConn) Write(b []byte) (n int, err error) {
+	for {
+		_ = c.SetWriteDeadline(time.Now().Add(writeStall)) // fails only if the connection is closed, which Write reports
+		m, err := c.TCPConn.Write(b[n:min(len(b), n+writePiece)])
+		n += m
+		if err != nil || n == len(b) {
+			return n, err
+		}
+	}
+}
+
 // callerConn is a connection of a caller. It knows whether bytes of a request have
 // been read that is not answered yet.
 type callerConn struct {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/mangogate/mangogate/core/fleet"
 	"github.com/mangogate/mangogate/core/lending"
 	"github.com/mangogate/mangogate/core/quarantine"
+	"github.com/mangogate/mangogate/node/bodies"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/panics"
@@ -90,12 +91,15 @@
 	cells      *cell.Service
 	targets    *upstream.Client
 	clock      *clock.Clock
+	bodies     *bodies.Budget
 	logger     hclog.Logger
 	guard      *panics.Guard
 	closing    atomic.Bool
 	inProgress requestSet
 	stats      *stats
 	workspaces workspaceCheck
+
+	maxConnections int
 }
 
 // Config holds the dependencies of a Gateway.
@@ -106,6 +110,10 @@
 	Cells   *cell.Service
 	Targets *upstream.Client
 	Clock   *clock.Clock
+	// Bodies limits the memory for bodies; nil means no limit.
+	Bodies *bodies.Budget
+	// MaxConnections limits the open connections of callers; 0 means no limit.
+	MaxConnections int
 	// Allowances limits the requests of workspaces; nil means no limits.
 	Allowances Allowances
 	// Revocation is the time after which a removed key must not work any more; 0 means
@@ -116,10 +124,14 @@
 }
 
 func New(c Config) *Gateway {
+	if c.Bodies == nil {
+		c.Bodies = bodies.New(0, c.Logger, c.Registry)
+	}
 	return &Gateway{
 		vm: c.VM.ID, dataCentre: c.VM.DataCentre, codec: c.Codec, view: c.View, cells: c.Cells, targets: c.Targets,
-		clock: c.Clock, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
+		clock: c.Clock, bodies: c.Bodies, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
 		inProgress: requestSet{requests: map[*request]struct{}{}}, workspaces: newWorkspaceCheck(c),
+		maxConnections: c.MaxConnections,
 	}
 }
 
@@ -139,7 +151,7 @@
 	taken         bool   // the request was taken from that allowance
 	service       string
 	keyed         bool
-	body          []byte
+	body          *bodies.Body  // nil if it is empty
 	arrived       time.Duration // clock reading
 	deadline      time.Duration // clock reading
 	fingerprint   quarantine.Fingerprint
@@ -207,15 +219,9 @@
 	return host
 }
 
-// serve reads the body, picks a service, sets the deadline, and sends the
+// serve picks a service, sets the deadline, reads the body, and sends the
 // request.
 func (q *request) serve(cfg *fleet.Config) {
-	body, status := readBody(q.r, cfg.Limits.BodyBytes)
-	if status != 0 {
-		q.reject(status, "the body was not read")
-		return
-	}
-	q.body = body
 	q.service = q.route.Pick(rand.Float64())
 	svc, _ := cfg.Service(q.service)
 	q.keyed = svc.Keyed
@@ -227,6 +233,10 @@
 		remaining = min(remaining, q.route.Timeout)
 	}
 	q.deadline = q.arrived + remaining
+	defer func() { q.body.Release() }()
+	if !q.readBody(cfg.Limits.BodyBytes) {
+		return
+	}
 	limit := q.lastAnswerAt() - q.g.clock.Now()
 	var release, releaseWait func()
 	q.ctx, q.end, release = withLimit(q.callerContext(), limit)
@@ -238,7 +248,7 @@
 		return
 	}
 	defer q.g.inProgress.remove(q)
-	q.fingerprint = fingerprint(q.r, body)
+	q.fingerprint = fingerprint(q.r, q.body)
 	if q.takeAllowance() {
 		q.sendUntilAnswered()
 	}
@@ -267,41 +277,15 @@
 	return context.WithoutCancel(q.r.Context())
 }
 
-// readBody returns the body, or an HTTP status other than 0 if it is larger
-// than limit bytes or cannot be read.
-func readBody(r *http.Request, limit int64) ([]byte, int) {
-	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return nil, 0
-	}
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, http.StatusBadRequest
-		}
-		return body, 0
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	switch {
-	case err != nil:
-		return nil, http.StatusBadRequest
-	case int64(len(body)) > limit:
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	return body, 0
-}
-
 // fingerprint returns a hash by which the quarantine recognizes a repeated
 // request.
-func fingerprint(r *http.Request, body []byte) quarantine.Fingerprint {
+func fingerprint(r *http.Request, body *bodies.Body) quarantine.Fingerprint {
 	h := fnv.New64a()
 	for _, s := range []string{r.Method, r.Host, r.RequestURI} {
 		io.WriteString(h, s) // a hash never returns an error
 		h.Write([]byte{0})
 	}
-	h.Write(body[:min(len(body), maxFingerprintBytes)])
+	h.Write(body.Prefix(maxFingerprintBytes))
 	return quarantine.Fingerprint(h.Sum64())
 }
 
@@ -383,7 +367,7 @@
 	q.g.codec.ToTarget(header, q.Meta, slot.Target, remaining)
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
 		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
-		Header: header, Body: q.body, NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
+		Header: header, Body: q.body.Pieces(), NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
 		NewConnection: q.ID == "" || q.answeredAt[slot.Address], BeforeSend: q.waitCtx.Err,
 	})
 	if err != nil {
@@ -493,6 +477,7 @@
 
 // deliver writes the target's answer to the caller.
 func (q *request) deliver(slot cell.Slot, a *upstream.Answer) {
+	q.body.Release() // the request is not sent again
 	h := q.header()
 	for name, values := range a.Header {
 		if !hopByHop[name] {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -100,6 +100,11 @@
 // newGateway starts a gateway on a VM that has no peers. If configured is
 // false, the gateway has no configuration.
 func newGateway(t *testing.T, configured bool, targets ...*fakeTarget) *httptest.Server {
+	return newGatewayWith(t, Config{}, configured, targets...)
+}
+
+// newGatewayWith is newGateway with the limits of a configuration.
+func newGatewayWith(t *testing.T, limits Config, configured bool, targets ...*fakeTarget) *httptest.Server {
 	c, registry, logger := clock.New(), metrics.NewRegistry(), hclog.NewNullLogger()
 	v := view.New(c.Now, logger)
 	self := fleet.VM{ID: "vm", DataCentre: "z", PeerAddress: "127.0.0.1:1", Boot: "b"}
@@ -124,7 +129,8 @@
 	server := peer.NewServer("127.0.0.1:0", nil, nil, logger, registry)
 	cells, err := cell.New(cell.Config{Self: self, View: v, Clock: c, Peers: peer.NewClient(nil, nil, registry), Server: server, Logger: logger, Registry: registry})
 	require.NoError(t, err)
-	g := New(Config{VM: self, Codec: fakeCodec{}, View: v, Cells: cells, Targets: upstream.New(net.Dialer{}, registry), Clock: c, Logger: logger, Registry: registry})
+	g := New(Config{VM: self, Codec: fakeCodec{}, View: v, Cells: cells, Targets: upstream.New(net.Dialer{}, registry), Clock: c, Logger: logger, Registry: registry,
+		Bodies: limits.Bodies, MaxConnections: limits.MaxConnections})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
 	return s
--- a/node/gateway/listener.go
+++ b/node/gateway/listener.go
@@ -58,6 +58,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]callerState // open connections of callers
+	limit connLimit
 }
 
 // callerState is what the HTTP server says of a connection.
@@ -71,7 +72,7 @@
 func NewListener(g *Gateway, callerAddress, readinessAddress string, drain func() Drain) *Listener {
 	return &Listener{
 		gateway: g, callerAddress: callerAddress, readinessAddress: readinessAddress, drain: drain,
-		callersServed: make(chan struct{}), conns: map[net.Conn]callerState{},
+		callersServed: make(chan struct{}), conns: map[net.Conn]callerState{}, limit: newConnLimit(g.maxConnections, g.stats.registry),
 	}
 }
 
@@ -92,6 +93,7 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	l.callers = newDrainListener(callers.(*net.TCPListener))
+	l.callers.admit = l.admit
 	s := &http.Server{
 		Handler: l.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: limits.HeaderBytes, ConnState: l.recordState,
@@ -128,6 +130,7 @@
 func (l *Listener) recordState(c net.Conn, state http.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	defer func() { l.limit.open.Update(int64(len(l.conns))) }()
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/mangogate/mangogate/core/fleet"
+	"github.com/mangogate/mangogate/node/bodies"
 	"github.com/mangogate/mangogate/node/cell"
 	"github.com/mangogate/mangogate/node/clock"
 	"github.com/mangogate/mangogate/node/exporter"
@@ -44,8 +45,12 @@
 	PeerKey    []byte  // key that all VMs of the deployment share
 	// AnswerMemory limits the memory, in bytes, for large answers of targets.
 	AnswerMemory int64
-	Drain        gateway.Drain
-	Retry        cell.RetryLimits
+	// BodyMemory limits the memory, in bytes, for bodies of requests and large answers.
+	BodyMemory int64
+	// CallerConnections limits the open connections of callers; 0 means no limit.
+	CallerConnections int
+	Drain             gateway.Drain
+	Retry             cell.RetryLimits
 	// Revocation is the time after which a removed key of a workspace must not work on any
 	// VM; 0 means that there is no such time.
 	Revocation time.Duration
@@ -103,8 +108,16 @@
 		return err
 	}
 	r.cells = cells
+	budget := bodies.New(s.BodyMemory, r.logger.Named("bodies"), r.registry)
+	r.logger.Info("limits for callers", "body_memory", s.BodyMemory, "connections", s.CallerConnections)
+	if !budget.HoldsMaxBody() {
+		r.logger.Warn("the memory for bodies does not hold one of the default maximum size; such bodies are refused",
+			"body_memory", s.BodyMemory, "body_bytes", bodies.MaxBodyBytes)
+	}
+	targets := r.newTargetClient(local, s.AnswerMemory)
+	targets.CountIn(budget)
 	g := gateway.New(gateway.Config{
-		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: r.newTargetClient(local, s.AnswerMemory), Clock: c,
+		VM: self, Codec: a.Codec(), View: v, Cells: cells, Targets: targets, Clock: c, Bodies: budget, MaxConnections: s.CallerConnections,
 		Revocation: s.Revocation, Logger: r.logger.Named("gateway"), Registry: r.registry,
 	})
 	r.drain.Store(&s.Drain)
--- a/node/upstream/cutanswer_test.go
+++ b/node/upstream/cutanswer_test.go
@@ -102,7 +102,7 @@
 	taken := 0
 	for range 200 {
 		req := request(address, "a", true)
-		req.Method, req.Body = http.MethodPost, make([]byte, bodySize)
+		req.Method, req.Body = http.MethodPost, [][]byte{make([]byte, bodySize)}
 		if _, err := c.Do(context.Background(), req); err == nil {
 			taken++
 		}
--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/mangogate/mangogate/node/bodies"
 	"github.com/pkg/errors"
 )
 
@@ -39,6 +40,7 @@
 	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
 	errEndedEarly        = errors.New("the answer ended with the connection before the whole request was sent")
 	errTwoHeads          = errors.New("the header of the answer contains the status line of another one")
+	errHeadEnd           = errors.New("the header of the request ends")
 	errOtherRequests     = errors.New("the answers on the connection belong to other requests")
 )
 
@@ -100,11 +102,20 @@
 
 // BodyMemory counts the memory that the bodies of answers use beyond freeAnswerBytes
 // each. The zero value counts none yet. It is safe for concurrent use.
-type BodyMemory struct{ used atomic.Int64 }
+type BodyMemory struct {
+	// Budget also counts the memory, with that of the requests, unless it is nil.
+	Budget *bodies.Budget
 
-// reserve adds n bytes unless that would exceed limit, and reports whether it did.
+	used atomic.Int64
+}
+
+// reserve adds n bytes unless that would exceed limit or the budget, and reports whether
+// it did.
 func (m *BodyMemory) reserve(n, limit int64) bool {
-	if n == 0 || m.used.Add(n) <= limit {
+	if n == 0 {
+		return true
+	}
+	if m.used.Add(n) <= limit && (m.Budget == nil || m.Budget.Reserve(n)) {
 		return true
 	}
 	m.used.Add(-n)
@@ -112,7 +123,12 @@
 }
 
 // Release ends the use of n bytes that ReadBody has reserved.
-func (m *BodyMemory) Release(n int64) { m.used.Add(-n) }
+func (m *BodyMemory) Release(n int64) {
+	m.used.Add(-n)
+	if m.Budget != nil {
+		m.Budget.Release(n)
+	}
+}
 
 // reservationFor returns how much a buffer of a size counts towards a BodyMemory.
 func reservationFor(size int64) int64 { return max(0, size-freeAnswerBytes) }
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -10,7 +10,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangogate/mangogate/node/bodies"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
@@ -54,7 +54,8 @@
 	URI     string // path and query, as the caller sent them
 	Host    string
 	Header  http.Header
-	Body    []byte
+	// Body is the body in pieces. They must not change, also for a short time after an error.
+	Body [][]byte
 	// NonIdempotent is set for requests that may run only once. They are not sent
 	// on connections that were idle for longer than idleLimit allows.
 	NonIdempotent bool
@@ -78,7 +79,8 @@
 	Took   time.Duration // from the first byte sent to the last byte received
 
 	endsWithConn bool  // the body ends with the connection
-	reserved     int64 // memory that the body counts for
+	reserved     int64 // memory that the body counts for in memory
+	free         int64 // and beyond that in memory.Budget alone
 	memory       *BodyMemory
 }
 
@@ -86,7 +88,10 @@
 // Client.AnswerMemory. Further calls have no effect.
 func (a *Answer) Release() {
 	a.memory.Release(a.reserved)
-	a.reserved = 0
+	if a.memory.Budget != nil {
+		a.memory.Budget.Release(a.free)
+	}
+	a.reserved, a.free = 0, 0
 }
 
 // Error is the failure of an attempt.
@@ -135,6 +140,10 @@
 	}
 }
 
+// CountIn lets a budget count the bodies of large answers too. It must be called before the
+// first request.
+func (c *Client) CountIn(b *bodies.Budget) { c.memory.Budget = b }
+
 // Do sends a request and reads the complete answer. If ctx ends first, the
 // connection is reset, so that the target stops working on the request. The
 // error is an *Error.
@@ -285,21 +294,26 @@
 
 // exchange sends the request on the connection and reads its answer.
 func (c *Client) exchange(cn *conn, r Request) (*Answer, error) {
-	req, encoded, err := encode(r)
+	req, head, err := encodeHead(r)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode request")
 	}
 	start := time.Now()
 	cn.sent = true
-	if len(encoded) <= concurrentSendSize {
-		if _, err := cn.Write(encoded); err != nil {
+	if int64(len(head))+req.ContentLength <= concurrentSendSize {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		if _, err := cn.Write(head); err != nil {
 			return nil, errors.Wrap(err, "send")
 		}
 		return c.receive(cn, r, req, start)
 	}
 	written := make(chan error, 1)
 	go func() {
-		_, err := cn.Write(encoded)
+		// The pieces are written from where they are held: a copy would use as much memory.
+		encoded := append(net.Buffers{head}, r.Body...)
+		_, err := encoded.WriteTo(cn.Conn)
 		written <- err
 	}()
 	answer, err := c.receive(cn, r, req, start)
@@ -319,9 +333,19 @@
 	return answer, err
 }
 
-// encode returns the request in the form that net/http needs to parse its
-// answer, and its encoded bytes.
-func encode(r Request) (*http.Request, []byte, error) {
+// headEnd is a body that ends the encoding of a request where the body begins.
+type headEnd struct{ reached bool }
+
+func (e *headEnd) Read([]byte) (int, error) {
+	e.reached = true
+	return 0, errHeadEnd
+}
+
+func (*headEnd) Close() error { return nil }
+
+// encodeHead returns the request in the form that net/http needs to parse its answer, and
+// its encoded request line and header.
+func encodeHead(r Request) (*http.Request, []byte, error) {
 	u := &url.URL{Opaque: r.URI}
 	if strings.HasPrefix(r.URI, "//") { // net/url would put a scheme before such an Opaque
 		var err error
@@ -329,19 +353,27 @@
 			return nil, nil, err
 		}
 	}
+	length := 0
+	for _, piece := range r.Body {
+		length += len(piece)
+	}
 	req := &http.Request{
-		Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: int64(len(r.Body)),
+		Method: r.Method, URL: u, Host: r.Host, Header: r.Header, ContentLength: int64(length),
 		ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if len(r.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	var end headEnd
+	if length > 0 {
+		req.Body = &end
 	}
 	if _, given := r.Header["User-Agent"]; !given {
 		r.Header["User-Agent"] = []string{""} // keeps net/http from adding a User-Agent
 	}
 	var out bytes.Buffer
-	out.Grow(1024 + len(r.Body))
+	out.Grow(1024 + min(length, concurrentSendSize))
 	err := req.Write(&out)
+	if end.reached { // then the error is errHeadEnd, which net/http wraps
+		err = nil
+	}
 	return req, out.Bytes(), err
 }
 
@@ -375,10 +407,16 @@
 			endsWithConn := closeDelimited(resp)
 			cn.notReusable = cn.notReusable || resp.Close || endsWithConn
 			cn.maxIdleTime = maxIdleTimeFrom(resp.Header)
-			return &Answer{
+			a := &Answer{
 				Status: resp.StatusCode, Header: resp.Header, Body: body, Took: time.Since(start),
 				endsWithConn: endsWithConn, reserved: reserved, memory: &c.memory,
-			}, nil
+			}
+			if c.memory.Budget != nil {
+				// Small answers are never given up, but callers may take long to read them.
+				a.free = max(0, int64(len(body))-reserved)
+				c.memory.Budget.Force(a.free)
+			}
+			return a, nil
 		}
 	}
 }
