--- a/core/lending/locality_test.go
+++ b/core/lending/locality_test.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/mangogate/mangogate/core/locality"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // centres returns 10 warm targets with 3 slots in each of some data centres.
@@ -288,3 +291,81 @@
 	assert.Equal(t, locality.HomeShort, counts[0].Reason)
 	assert.Zero(t, tr.refused)
 }
+
+// Guards against overload of a target, lost requests and requests that wait although home
+// has a free slot, for any sequence of requests, losses and cold starts of data centres.
+func TestSpilloverKeepsSlotsAndDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		l := newLender(spilloverConfig(), nil, centres(names...)...)
+		inFlight, dataCentre := map[string]int{}, map[string]string{}
+		for _, info := range centres(names...) {
+			dataCentre[info.ID] = info.DataCentre
+		}
+		asked, decided := map[uint64]Request{}, map[uint64]bool{}
+		var open []Decision
+		now, id := time.Duration(0), uint64(0)
+		lost, cold := map[string]bool{}, map[string]bool{}
+		for range 100 {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * ms
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				dc := rapid.SampledFrom(names).Draw(t, "changes")
+				lost[dc], cold[dc] = rapid.Bool().Draw(t, "lost"), rapid.Bool().Draw(t, "cold")
+				var infos []TargetInfo
+				for _, info := range centres(names...) {
+					if cold[info.DataCentre] {
+						info.ColdUntil = now + 100*ms
+					}
+					if !lost[info.DataCentre] {
+						infos = append(infos, info)
+					}
+				}
+				l.SetTargets(now, infos)
+			case 1, 2, 3:
+				for n := rapid.IntRange(1, 10).Draw(t, "ends"); n > 0 && len(open) > 0; n-- {
+					d := open[0]
+					open = open[1:]
+					inFlight[d.Target]--
+					l.Return(now, Usage{ID: d.ID, Result: Answered, Took: time.Duration(rapid.IntRange(1, 400).Draw(t, "took")) * ms, Bytes: 1000})
+				}
+			default:
+				dc := rapid.SampledFrom(names).Draw(t, "from")
+				for range rapid.IntRange(1, 20).Draw(t, "requests") {
+					id++
+					r := request(id, now)
+					r.DataCentre, r.VM = dc, "vm-"+dc
+					asked[id] = r
+					l.RequestSlot(now, r)
+				}
+			}
+			l.Tick(now)
+			for _, d := range l.TakeDecisions() {
+				require.False(t, decided[d.ID], "request %d is decided twice", d.ID)
+				decided[d.ID] = true
+				if d.Lent {
+					open = append(open, d)
+					inFlight[d.Target]++
+					require.LessOrEqual(t, inFlight[d.Target], 3)
+					require.False(t, lost[dataCentre[d.Target]] && l.targets[d.Target].usable)
+				}
+			}
+			free := map[string]bool{}
+			for _, target := range l.targets {
+				free[target.DataCentre] = free[target.DataCentre] || target.available(now) && l.hasRoom(now, target)
+			}
+			for _, r := range l.sharedQueue {
+				require.False(t, free[r.DataCentre], "a request waits although home, %s, has a free slot", r.DataCentre)
+			}
+			require.Equal(t, len(asked), len(decided)+l.Waiting())
+			// Leases that expired are free for others.
+			open = slices.DeleteFunc(open, func(d Decision) bool {
+				_, _, held := l.SlotLease(d.ID)
+				if !held {
+					inFlight[d.Target]--
+				}
+				return !held
+			})
+		}
+	})
+}
