--- a/core/locality/locality_test.go
+++ b/core/locality/locality_test.go
@@ -270,7 +270,7 @@
 			demand = 48
 		}
 		d.Step(now, fleet(now-age, demand, 6, 6))
-		away := 1 - d.shares0("a")
+		away := 1 - d.atHome("a")
 		if way := sign(away - last); way != 0 {
 			if direction != 0 && way != direction {
 				turns++
@@ -283,7 +283,7 @@
 	assert.InDelta(t, (48-27)/48.0, last, Step)
 }
 
-func (d *Decider) shares0(home string) float64 { return Shares{Away: d.shares[home]}.AtHome() }
+func (d *Decider) atHome(home string) float64 { return Shares{Away: d.shares[home]}.AtHome() }
 
 func sign(x float64) int {
 	switch {
