--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -380,7 +380,7 @@
 	}
 	q.answeredAt[slot.Address] = true
 	info := q.g.codec.FromTarget(answer.Status, answer.Header)
-	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Bytes: q.body.Len()+int64(len(answer.Body)), Load: info.Load}
+	usage := lending.Usage{Result: lending.Answered, Took: answer.Took, Bytes: q.body.Len() + int64(len(answer.Body)), Load: info.Load}
 	switch {
 	case info.WrongOwner:
 		usage.Result = lending.WrongOwner
