Malformed answers of targets are no answers

Cause: net/http accepts any status of three characters that Atoi takes (000, +99, 600, 999), any version of two digits, and a 101 that nobody asked for. receive took those below 200 for informational answers and passed on what followed, and passed 600 and 999 on. node/targets passed on the same ones and a 101.

Change: upstream.CheckHead checks version, status and unsolicited switches for both clients; the caller of a write gets 502, a read may be tried again. node/targets limits informational answers to MaxInformational too. A metric counts malformed answers. Also a test of the deadline for callers that do not read.

--- a/node/gateway/body_test.go
+++ b/node/gateway/body_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -124,3 +125,36 @@
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// Guards against answers that are held for a caller that does not read, and against a slow
+// caller whose answer is cut although it goes on reading.
+func TestWritesFailWithoutProgressOnly(t *testing.T) {
+	const stall = 300 * time.Millisecond
+	for _, reads := range []bool{true, false} {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		l := newDrainListener(tcp.(*net.TCPListener))
+		l.writeStall = stall
+		t.Cleanup(func() { l.Close() })
+		caller, err := net.Dial("tcp", tcp.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { caller.Close() })
+		c, err := l.Accept()
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		if reads {
+			go func() { // takes longer than stall for the whole answer
+				buffer := make([]byte, 1<<20)
+				for err := error(nil); err == nil; time.Sleep(stall / 20) {
+					_, err = io.ReadFull(caller, buffer)
+				}
+			}()
+		}
+		_, err = c.Write(make([]byte, 40<<20))
+		if reads {
+			assert.NoError(t, err)
+		} else {
+			assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		}
+	}
+}
--- a/node/gateway/drainlistener.go
+++ b/node/gateway/drainlistener.go
@@ -22,14 +22,17 @@
 type drainListener struct {
 	*net.TCPListener
 	// admit reports whether a new connection is served. If it is nil, all are.
-	admit    func() bool
-	mu       sync.Mutex
-	draining bool
-	quiet    time.Duration // how long drain waits for one more connection
-	giveUpAt time.Time     // from then on, only pending connections are accepted
+	admit      func() bool
+	writeStall time.Duration // of its connections
+	mu         sync.Mutex
+	draining   bool
+	quiet      time.Duration // how long drain waits for one more connection
+	giveUpAt   time.Time     // from then on, only pending connections are accepted
 }
 
-func newDrainListener(l *net.TCPListener) *drainListener { return &drainListener{TCPListener: l} }
+func newDrainListener(l *net.TCPListener) *drainListener {
+	return &drainListener{TCPListener: l, writeStall: writeStall}
+}
 
 // drain makes Accept close the listener once no connection has arrived for quiet, or
 // after most at the latest, and none is pending.
@@ -65,7 +68,7 @@
 				refuseConn(c)
 				continue
 			}
-			return &callerConn{TCPConn: c}, nil
+			return &callerConn{TCPConn: c, writeStall: l.writeStall}, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
 		case hasInput(l.TCPListener):
@@ -101,7 +104,7 @@
 // callers that do not read must not hold the memory of their answers.
 func (c *callerConn) Write(b []byte) (n int, err error) {
 	for {
-		_ = c.SetWriteDeadline(time.Now().Add(writeStall)) // fails only if the connection is closed, which Write reports
+		_ = c.SetWriteDeadline(time.Now().Add(c.writeStall)) // fails only if the connection is closed, which Write reports
 		m, err := c.TCPConn.Write(b[n:min(len(b), n+writePiece)])
 		n += m
 		if err != nil || n == len(b) {
@@ -114,7 +117,8 @@
 // been read that is not answered yet.
 type callerConn struct {
 	*net.TCPConn
-	received atomic.Bool
+	writeStall time.Duration
+	received   atomic.Bool
 }
 
 func (c *callerConn) Read(b []byte) (int, error) {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -377,3 +377,24 @@
 		assert.Equal(t, status, resp.Status)
 	}
 }
+
+// Guards against an answer with an invalid status line that reaches a caller: a write has
+// an unknown outcome, a read is tried at another target.
+func TestMalformedAnswerReachesNoCaller(t *testing.T) {
+	for _, status := range []string{"000 OK", "99 OK", "600 OK", "101 Switching Protocols"} {
+		bad := startTarget(t, func(c net.Conn, r *http.Request) {
+			respond(c, r, status, "", "bad")
+			c.Close()
+		})
+		good := startTarget(t, func(c net.Conn, r *http.Request) { respond(c, r, "200 OK", "", "good") })
+		resp, body := call(t, newGateway(t, true, bad), http.MethodPost, "/write/a", "x")
+		assert.Equal(t, http.StatusBadGateway, resp.StatusCode, status)
+		assert.Contains(t, body, `"unknown"`)
+		s := newGateway(t, true, bad, good)
+		for range 4 {
+			resp, body = call(t, s, http.MethodGet, "/read/a", "")
+			assert.Equal(t, http.StatusOK, resp.StatusCode, status)
+			assert.Equal(t, "good", body)
+		}
+	}
+}
--- a/node/targets/client.go
+++ b/node/targets/client.go
@@ -258,7 +258,9 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	var tracker connTracker
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { tracker.gotConn(info, r) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { tracker.gotConn(info, r) }, Got1xxResponse: limitInformational(),
+	})
 	req, err := c.request(ctx, r)
 	if err != nil {
 		return nil, &SendError{Step: "build request", Target: r.Target, Err: err}
@@ -276,6 +278,18 @@
 	return c.answer(ctx, r, resp)
 }
 
+// limitInformational returns a hook of httptrace that fails once more than
+// upstream.MaxInformational informational answers have come.
+func limitInformational() func(int, textproto.MIMEHeader) error {
+	n := 0
+	return func(int, textproto.MIMEHeader) error {
+		if n++; n > upstream.MaxInformational {
+			return errors.Errorf("more than %d informational answers without a final one", upstream.MaxInformational)
+		}
+		return nil
+	}
+}
+
 // causeOf returns the cause of ctx's end if ctx has ended, and err otherwise.
 func causeOf(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -322,11 +336,16 @@
 	fail := func(err error) error {
 		return &SendError{Step: "check answer", Target: r.Target, Written: true, Err: err}
 	}
-	if got := resp.Header.Get(HeaderRequestID); got != r.ID || upstream.ContainsStatusLine(resp) {
+	if err := upstream.CheckHead(resp); err != nil {
+		c.mismatched.Inc(1)
+		c.CloseIdle(r.Address)
+		return nil, fail(err)
+	}
+	if got := resp.Header.Get(HeaderRequestID); got != r.ID {
 		c.mismatched.Inc(1)
 		c.CloseIdle(r.Address)
 		// Closing a body that was not read to its end closes the connection.
-		return nil, fail(errors.Errorf("answer is for request %q, not %q, or made of two answers", got, r.ID))
+		return nil, fail(errors.Errorf("answer is for request %q, not %q", got, r.ID))
 	}
 	body, reserved, err := c.bodies.ReadBody(resp, bodyMemory)
 	if err != nil {
--- a/node/upstream/limits.go
+++ b/node/upstream/limits.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 
 	"github.com/mangogate/mangogate/node/bodies"
@@ -19,8 +21,8 @@
 	DefaultAnswerMemory = 24 << 20
 	// MaxHeadBytes is the largest status line and header of an answer, in bytes.
 	MaxHeadBytes = 64 << 10
-	// maxInformational is how many informational (1xx) answers may precede an answer.
-	maxInformational = 8
+	// MaxInformational is how many informational (1xx) answers may precede an answer.
+	MaxInformational = 8
 	// maxMismatchedAnswers is how many answers to other requests are skipped
 	// before the request fails.
 	maxMismatchedAnswers = 3
@@ -37,10 +39,11 @@
 	errHeadTooLarge      = errors.Errorf("the status line and header of the answer exceed %d bytes", MaxHeadBytes)
 	errBodyTooLarge      = errors.Errorf("the body of the answer exceeds %d bytes", MaxAnswerBytes)
 	errAnswerMemory      = errors.New("no memory is left for an answer of this size beside those in progress")
-	errManyInformational = errors.Errorf("more than %d informational answers without a final one", maxInformational)
+	errManyInformational = errors.Errorf("more than %d informational answers without a final one", MaxInformational)
 	errEndedEarly        = errors.New("the answer ended with the connection before the whole request was sent")
 	errTwoHeads          = errors.New("the header of the answer contains the status line of another one")
 	errHeadEnd           = errors.New("the header of the request ends")
+	errSwitch            = errors.New("the answer switches to another protocol")
 	errOtherRequests     = errors.New("the answers on the connection belong to other requests")
 )
 
@@ -66,24 +69,42 @@
 }
 
 // readHead reads the status line and header of the next answer on the connection. It
-// fails if they contain the status line of another answer.
+// fails if CheckHead does, and then returns the answer too.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.raw.left = MaxHeadBytes
 	defer func() { c.raw.left = -1 }()
 	resp, err := http.ReadResponse(c.reader, req)
-	if err == nil && ContainsStatusLine(resp) {
-		return nil, errTwoHeads
+	if err != nil {
+		return nil, err
 	}
-	return resp, err
+	return resp, CheckHead(resp)
+}
+
+// CheckHead returns an error if the status line of an answer is invalid, which net/http
+// does not check in full, if the answer switches to a protocol that nobody has asked for,
+// or if its head contains the status line of another answer.
+func CheckHead(resp *http.Response) error {
+	code, _, _ := strings.Cut(resp.Status, " ")
+	switch {
+	case resp.Proto != "HTTP/1.1" && resp.Proto != "HTTP/1.0":
+		return errors.Errorf("the answer has the version %.20q", resp.Proto)
+	case len(code) != 3 || strconv.Itoa(resp.StatusCode) != code || resp.StatusCode < 100 || resp.StatusCode > 599:
+		return errors.Errorf("the answer has the status %.20q", resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return errSwitch
+	case containsStatusLine(resp):
+		return errTwoHeads
+	}
+	return nil
 }
 
 // statusLine matches the beginning of the status line of an answer.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
 
-// ContainsStatusLine reports whether the reason or a header of an answer contains a
+// containsStatusLine reports whether the reason or a header of an answer contains a
 // status line: the target broke off one answer and began another. Of two heads that are
 // read as one, the status may belong to the first and the id to the second.
-func ContainsStatusLine(resp *http.Response) bool {
+func containsStatusLine(resp *http.Response) bool {
 	if statusLine.MatchString(resp.Status) {
 		return true
 	}
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -120,6 +120,7 @@
 	dialer     net.Dialer
 	opened     metrics.Counter
 	mismatched metrics.Counter
+	malformed  metrics.Counter
 	idleLimit  idleLimit
 
 	mu   sync.Mutex
@@ -137,6 +138,7 @@
 		AnswerMemory: DefaultAnswerMemory, dialer: d, idle: map[string][]*conn{}, silentAt: map[string]time.Time{},
 		opened:     metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
 		mismatched: metrics.GetOrRegisterCounter("upstream.answers_skipped", registry),
+		malformed:  metrics.GetOrRegisterCounter("upstream.answers_malformed", registry),
 	}
 }
 
@@ -378,17 +380,20 @@
 }
 
 // receive reads answers until one belongs to the request. It skips up to
-// maxInformational informational (1xx) answers and, unless the target closes the
+// MaxInformational informational (1xx) answers and, unless the target closes the
 // connection after them, up to maxMismatchedAnswers answers to other requests.
 func (c *Client) receive(cn *conn, r Request, req *http.Request, start time.Time) (*Answer, error) {
 	for informational, mismatched := 0, 0; ; {
 		resp, err := cn.readHead(req)
 		if err != nil {
+			if resp != nil {
+				c.malformed.Inc(1)
+			}
 			return nil, errors.Wrap(err, "receive")
 		}
 		switch {
 		case resp.StatusCode < http.StatusOK:
-			if informational++; informational > maxInformational {
+			if informational++; informational > MaxInformational {
 				return nil, errManyInformational
 			}
 		case r.MatchesRequest != nil && !r.MatchesRequest(resp.Header):
