Discard the rest of a refused body, so that its caller reads the refusal

Change: after a refusal for lack of memory the answer is flushed, and what the caller still sends is read and dropped for 1 s at most. Answers of the gateway itself state their length, which net/http added before.

--- a/node/gateway/answer.go
+++ b/node/gateway/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/mangogate/mangogate/node/cell"
@@ -110,6 +111,7 @@
 		body = nil // cannot happen: the struct holds only strings
 	}
 	q.header().Set("Content-Type", "application/json")
+	q.header().Set("Content-Length", strconv.Itoa(len(body))) // known before the handler ends, see discardBody
 	q.w.WriteHeader(status)
 	_, _ = q.w.Write(body) // a write error means that the caller disconnected
 }
--- a/node/gateway/body.go
+++ b/node/gateway/body.go
@@ -18,8 +18,11 @@
 	// memoryRetryAfter is the Retry-After of requests for whose bodies no memory is left: a
 	// body without progress gives up its memory in that time.
 	memoryRetryAfter = time.Second
-	// closeWait is how long net/http may read the rest of a body that was refused.
+	// closeWait is how long net/http may read the rest of a body that was rejected.
 	closeWait = 100 * time.Millisecond
+	// discardTime is how long the rest of a body that was refused is read and discarded: a
+	// caller that is still sending could lose the refusal to a reset of the connection.
+	discardTime = time.Second
 )
 
 // bodySource reads the body of a caller. A Read fails if no byte arrives for bodyStall, or
@@ -70,6 +73,7 @@
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		q.refuse("no-memory-for-body", memoryRetryAfter)
+		q.discardBody(conn)
 	case errors.Is(err, os.ErrDeadlineExceeded) && q.g.clock.Now() >= q.deadline:
 		q.refuse("deadline", defaultRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -81,3 +85,10 @@
 	}
 	return false
 }
+
+// discardBody sends the answer and discards the rest of the body, for discardTime at most.
+func (q *request) discardBody(conn *http.ResponseController) {
+	_ = conn.Flush() // an error also fails the reads
+	_ = conn.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, q.r.Body) // the connection is closed in any case
+}
