--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -15,6 +15,7 @@
 	"slow-readers": slowReaders,
 	"leaving":      leaving,
 	"options":      options,
+	"reborn":       reborn,
 }
 
 func main() {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -27,13 +27,48 @@
 	mu      sync.Mutex
 	topics  map[string][]storeRecord
 	changed chan struct{}
+	// era is sent in all answers; a restore raises it.
+	era  int
+	down bool // all calls are answered 503
+	// lastWriter is the address that last wrote under a condition.
+	lastWriter string
 	// cut reports whether a caller's address is partitioned from the store: its calls get
 	// no answer and are not carried out.
 	cut func(ip string) bool
 }
 
 func newStore() *store {
-	return &store{topics: map[string][]storeRecord{}, changed: make(chan struct{}), cut: func(string) bool { return false }}
+	return &store{era: 1, topics: map[string][]storeRecord{}, changed: make(chan struct{}), cut: func(string) bool { return false }}
+}
+
+// copied returns a copy of the present content.
+func (s *store) copied() map[string][]storeRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][]storeRecord{}
+	for name, records := range s.topics {
+		out[name] = slices.Clone(records)
+	}
+	return out
+}
+
+// setDown takes the store away or brings it back, waiting reads included.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from a copy, in the next era.
+func (s *store) restore(from map[string][]storeRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics, s.down = from, false
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // put appends a record as the operator or an upstream does; a nil value removes the key.
@@ -45,7 +80,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.appendLocked(topic, storeRecord{key, content})
+	if !s.down { // the writer writes again with its next heartbeat
+		s.appendLocked(topic, storeRecord{key, content})
+	}
 }
 
 func (s *store) appendLocked(topic string, r storeRecord) int {
@@ -65,10 +102,18 @@
 	if err != nil {
 		return
 	}
+	s.mu.Lock()
+	down := s.down
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	topic, q := r.URL.Query().Get("topic"), r.URL.Query()
 	switch r.URL.Path {
 	case "/log-append":
-		s.serveAppend(w, topic, q.Get("asOf"), body)
+		s.serveAppend(w, ip, topic, q.Get("asOf"), body)
 	case "/log-read":
 		s.serveRead(w, r, topic)
 	case "/log-newest":
@@ -78,7 +123,7 @@
 	}
 }
 
-func (s *store) serveAppend(w http.ResponseWriter, topic, asOf string, body []byte) {
+func (s *store) serveAppend(w http.ResponseWriter, ip, topic, asOf string, body []byte) {
 	var records []storeRecord
 	for len(body) > 0 {
 		if len(body) < 5 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
@@ -107,6 +152,9 @@
 	for _, r := range records {
 		s.appendLocked(topic, r)
 	}
+	if asOf != "" {
+		s.lastWriter = ip
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(mustJSON(map[string]int{"offset": end, "end": len(s.topics[topic])}))
 }
@@ -122,8 +170,19 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		records, changed := s.topics[topic], s.changed
+		records, changed, down := s.topics[topic], s.changed, s.down
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if from > len(records) {
+			w.Header().Set("Content-Type", "application/json")
+			w.WriteHeader(http.StatusGone)
+			w.Write(mustJSON(map[string]int{"first": 0}))
+			return
+		}
 		if from < len(records) || wait == 0 {
 			out := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 			out = binary.BigEndian.AppendUint64(out, 0)
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -23,12 +23,16 @@
 	server            *http.Server
 	born              int64
 
+	interval time.Duration // between two entries
+	keyed    *holds        // nil for a service without keys
+
 	mu       sync.Mutex
 	running  int
 	state    string
 	leaving  bool // says so in all its answers
 	silent   bool // writes no entry any more
 	sequence int
+	beatAt   time.Time
 	// runs holds, by request id, when the run began and whether it has ended.
 	runs map[string]*run
 }
@@ -39,24 +43,29 @@
 	ended bool
 }
 
+// startUpstream starts an upstream of a service without keys that writes an entry every half
+// second.
 func startUpstream(s *store, rec *recorder, id, service, zone string, slots int, work time.Duration, size int) (*upstream, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	u := &upstream{id: id, service: service, zone: zone, slots: slots, work: work, size: size, store: s, rec: rec, interval: 500 * time.Millisecond}
+	return u, u.start("127.0.0.1:0")
+}
+
+// start starts an upstream at an address.
+func (u *upstream) start(address string) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
-	}
-	u := &upstream{
-		id: id, service: service, zone: zone, slots: slots, work: work, size: size, store: s, rec: rec, listener: l,
-		born: time.Now().UnixMilli(), state: "ready", runs: map[string]*run{},
+		return err
 	}
+	u.listener, u.born, u.state, u.runs = l, time.Now().UnixMilli(), "ready", map[string]*run{}
 	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l)
 	u.beat()
 	go func() {
-		for range time.Tick(500 * time.Millisecond) {
+		for range time.Tick(u.interval) {
 			u.beat()
 		}
 	}()
-	return u, nil
+	return nil
 }
 
 // beat writes the upstream's entry.
@@ -67,12 +76,20 @@
 		return
 	}
 	u.sequence++
+	u.beatAt = time.Now()
 	u.store.put("keyed.servers", u.id, map[string]any{
 		"service": u.service, "address": u.listener.Addr().String(), "zone": u.zone, "version": "v1", "slots": u.slots,
 		"state": u.state, "warmupLeftS": 0, "sequence": u.sequence, "born": u.born,
 	})
 }
 
+// lastBeat returns when the upstream last tried to write its entry.
+func (u *upstream) lastBeat() time.Time {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.beatAt
+}
+
 // leave reports draining to the store; from when it has accepted that on, all answers say it too.
 func (u *upstream) leave() {
 	u.mu.Lock()
@@ -94,7 +111,22 @@
 	u.store.put("keyed.servers", u.id, nil)
 }
 
+// crash ends the upstream without a word: its entry stays until the store drops it.
+func (u *upstream) crash() {
+	u.mu.Lock()
+	u.silent = true
+	u.mu.Unlock()
+	u.server.Close()
+	if u.keyed != nil {
+		u.keyed.endAll()
+	}
+}
+
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/grant" || r.URL.Path == "/release" {
+		u.serveKeyCall(w, r)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	io.Copy(io.Discard, r.Body)
 	h := w.Header()
@@ -110,6 +142,8 @@
 		refuse = http.StatusMisdirectedRequest
 	case id == "":
 		refuse = http.StatusBadRequest
+	case u.keyed != nil && !u.keyed.holds(keyOf(r)):
+		refuse = http.StatusMisdirectedRequest
 	case u.running >= u.slots:
 		refuse = http.StatusServiceUnavailable
 	}
--- a/review/standins-2/vm.go
+++ b/review/standins-2/vm.go
@@ -76,6 +76,25 @@
 	})
 }
 
+// configureKeyed writes the first config: a route to a service with keys and one to a service
+// without.
+func (d *deployment) configureKeyed() {
+	route := func(name, service string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "desk.example", "pathPrefix": "/" + name + "/", "routeType": "unsafe", "timeoutS": 2,
+			"targetLatencyS": 0.5, "priority": 1, "attempts": 2, "service": service,
+		}
+	}
+	service := func(name string, sharded bool) map[string]any {
+		return map[string]any{"name": name, "healthPath": "/health", "maxConnections": 110, "warmupS": 3, "warmupPerS": 5.9, "sharded": sharded}
+	}
+	d.store.put("keyed.op", "config", map[string]any{
+		"version": 3, "routes": []any{route("pay", "board"), route("book", "desk")},
+		"services": []any{service("board", true), service("desk", false)},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+	})
+}
+
 // nextIP is the number of the loopback address that freeIP tries next.
 var nextIP = os.Getpid()
 
