Review case 6: two owners after a late write of an upstream's earlier life

Cause: entries of an upstream are ordered by position, not by born; a 421 at its earlier address counts as its end. Nothing is fixed.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,8 +14,9 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"slow-readers": slowReaders,
 	"leaving":      leaving,
-	"options":      options,
 	"reborn":       reborn,
+	"late-beat":    lateBeat,
+	"headers":      headers,
 }
 
 func main() {
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -75,11 +75,28 @@
 	if u.silent {
 		return
 	}
-	u.sequence++
 	u.beatAt = time.Now()
-	u.store.put("keyed.servers", u.id, map[string]any{
+	u.store.put("keyed.servers", u.id, u.nextEntry())
+}
+
+// nextEntry returns the next entry. It is called with mu held.
+func (u *upstream) nextEntry() map[string]any {
+	u.sequence++
+	return map[string]any{
 		"service": u.service, "address": u.listener.Addr().String(), "zone": u.zone, "version": "v1", "slots": u.slots,
 		"state": u.state, "warmupLeftS": 0, "sequence": u.sequence, "born": u.born,
+	}
+}
+
+// beatUnanswered writes the upstream's entry by a call that the store leaves without an answer
+// and carries out late.
+func (u *upstream) beatUnanswered(late time.Duration) {
+	u.mu.Lock()
+	entry := u.nextEntry()
+	u.mu.Unlock()
+	time.AfterFunc(late, func() {
+		u.store.put("keyed.servers", u.id, entry)
+		u.rec.logf("the store carries out a write of %s that it left without an answer %.1f s ago: address %v, born %v", u.id, late.Seconds(), entry["address"], entry["born"])
 	})
 }
 
