Review case 10: requesters out of step, so that the lost bookings show

Cause: all requesters of the case sent at the same moments, and the upstream's end fell between their requests. Change: pauses of different length, nine requesters; the check is as it was.

--- a/review/standins-2/leaving.go
+++ b/review/standins-2/leaving.go
@@ -33,7 +33,7 @@
 func leaving(d *deployment, trouble bool) (bool, error) {
 	d.configure(2)
 	for i := range 3 {
-		u, err := startUpstream(d.store, d.rec, fmt.Sprintf("i-%04d", i+1), "desk", "labadi", 3, 120*time.Millisecond, 400)
+		u, err := startUpstream(d.store, d.rec, fmt.Sprintf("i-%04d", i+1), "desk", "labadi", 3, 150*time.Millisecond, 400)
 		if err != nil {
 			return false, err
 		}
@@ -53,7 +53,7 @@
 		mu   sync.Mutex
 		all  []sentRequest
 	)
-	for requester := range 6 {
+	for requester := range 9 {
 		wg.Go(func() {
 			c := &http.Client{Transport: &http.Transport{}, Timeout: 3 * time.Second}
 			for n := 0; !stop.Load(); n++ {
@@ -72,7 +72,7 @@
 				mu.Lock()
 				all = append(all, q)
 				mu.Unlock()
-				time.Sleep(40 * time.Millisecond)
+				time.Sleep(time.Duration(5+(requester*13+n*7)%31) * time.Millisecond)
 			}
 		})
 	}
