--- a/review/standins-2/vm.go
+++ b/review/standins-2/vm.go
@@ -101,7 +101,7 @@
 // freeIP returns a loopback address whose ports a machine can use.
 func freeIP() (string, error) {
 	for n := nextIP; n < nextIP+200; n++ {
-		ip := fmt.Sprintf("127.%d.%d.%d", 40+n%180, n/180%250, 1+n%200)
+		ip := fmt.Sprintf("127.%d.%d.%d", 40+n%50, n/50%250, 1+n%200)
 		free := true
 		for _, port := range []int{8381, 8388, 7200, 9100} {
 			l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
