What a target says of itself counts: Server-Leaving in its answers ends its use

Cause: only entries of the store took a target out of use. Nothing read the header, so a VM, or a leader, that does not read the store could not learn it.

The view keeps the word for the lifetime of the target's process, whatever records, views or restores say later. From then on this VM sends no request there; a slot that is lent already is given back. Lend and Return tell the leader, which moves the keys and lends no slot. What runs is finished.

--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -32,7 +33,12 @@
 	drainBoundLifted func() bool // reports whether a fault lifts drainBound now
 	// unaware reports whether the process that a request was sent to cannot know yet that a
 	// target has left.
-	unaware    func(request string) bool
+	unaware func(request string) bool
+	// passedOn holds, by process of a VM and target, when the VM had first passed on an answer
+	// in which the target says that it leaves. Neither a cut nor a fault of the store lifts
+	// the bound that this sets, but a restart or a pause of the process does.
+	passedOn   map[leavingKnown]time.Time
+	submitted  func(request string) (submission, bool)
 	violations []string
 }
 
@@ -40,7 +46,8 @@
 	return &checker{
 		holders: map[int]map[string]time.Time{}, fences: map[int]int64{}, lastOwner: map[int]string{}, runCount: map[string]int{},
 		writes: map[string]string{}, drainingSince: map[string]time.Time{}, stoppedTargets: map[string]bool{}, drainBoundLifted: func() bool { return false },
-		unaware: func(string) bool { return false },
+		unaware: func(string) bool { return false }, passedOn: map[leavingKnown]time.Time{},
+		submitted: func(string) (submission, bool) { return submission{}, false },
 	}
 }
 
@@ -93,11 +100,54 @@
 	if outcome, ended := c.writes[request]; ended && outcome == refused {
 		c.reportf("write %s runs at %s although it was refused as not run", request, target)
 	}
+	c.checkLeaving(target, request)
 	if at, draining := c.drainingSince[target]; draining && time.Since(at) > drainBound && !c.drainBoundLifted() && !c.unaware(request) {
 		c.reportf("request %s reached %s, which has been draining for %s", request, target, time.Since(at))
 	}
 }
 
+// leavingKnown identifies what a process of a VM knows since its last pause: that a target
+// leaves.
+type leavingKnown struct {
+	vm      string
+	vmStart time.Time
+	pauses  int
+	target  string
+}
+
+func (s submission) knows(target string) leavingKnown {
+	return leavingKnown{s.vm, s.vmStart, s.vmPauses, target}
+}
+
+// recordLeavingPassedOn records that a VM has answered a request with the word of a target
+// that it leaves.
+func (c *checker) recordLeavingPassedOn(s submission, target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.passedOn[s.knows(target)]; !known {
+		c.passedOn[s.knows(target)] = time.Now()
+	}
+}
+
+// checkLeaving checks that a request that runs at a target was not sent to its VM later than
+// drainBound after that VM had passed on that the target leaves. It is called with mu held.
+func (c *checker) checkLeaving(target, request string) {
+	s, ok := c.submitted(request)
+	if !ok {
+		return
+	}
+	if at, known := c.passedOn[s.knows(target)]; known && s.at.Sub(at) > drainBound {
+		c.reportf("request %s reached %s, although %s had passed on %s before it was sent that this target leaves", request, target, s.vm, s.at.Sub(at))
+	}
+}
+
+// recordNewProcess records that a target has started again: its earlier word does not count.
+func (c *checker) recordNewProcess(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.passedOn, func(k leavingKnown, _ time.Time) bool { return k.target == target })
+}
+
 // recordDraining records that a target has begun to announce that it is draining.
 func (c *checker) recordDraining(target string) {
 	c.mu.Lock()
--- a/cmd/soak/fleet_test.go
+++ b/cmd/soak/fleet_test.go
@@ -38,6 +38,7 @@
 	cmd                     *exec.Cmd
 	exited                  chan struct{} // closed when the process of cmd has ended
 	paused                  bool
+	pauses                  int // of this process
 	startedAt               time.Time
 }
 
@@ -66,7 +67,15 @@
 	wg      sync.WaitGroup
 
 	restoring sync.Mutex // held by restoreStore
-	sentTo    sync.Map   // by id of a request: start of the process that it was sent to
+	sentTo    sync.Map   // by id of a request: its submission
+}
+
+// submission is where and when a caller sent a request.
+type submission struct {
+	vm       string
+	vmStart  time.Time // of the process that it was sent to
+	vmPauses int       // times that this process had been paused
+	at       time.Time
 }
 
 // targetInstance is one run of a target, with its proxy. A target that is started
@@ -94,6 +103,7 @@
 		t:          t, binary: binary, ipPrefix: fmt.Sprintf("127.%d.%d", 20+seed%200, (seed/200)%250), store: store.New(seed),
 		checker: newChecker(), targets: map[string]*targetInstance{}, stop: make(chan struct{}),
 	}
+	f.checker.submitted = f.submissionOf
 	f.store.Restore(0) // a store that was never restored is in its first era
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
@@ -163,7 +173,7 @@
 		_ = cmd.Wait() // an error is normal for a killed process
 		close(exited)
 	}()
-	v.cmd, v.exited, v.startedAt = cmd, exited, time.Now()
+	v.cmd, v.exited, v.startedAt, v.pauses = cmd, exited, time.Now(), 0
 }
 
 // signal sends a signal to the VM's process, if there is one.
@@ -172,6 +182,9 @@
 	defer v.mu.Unlock()
 	if v.cmd != nil {
 		_ = v.cmd.Process.Signal(s) // fails if the process has exited by itself
+		if s == syscall.SIGSTOP {
+			v.pauses++
+		}
 		v.paused = s == syscall.SIGSTOP || v.paused && s != syscall.SIGCONT
 	}
 }
@@ -324,6 +337,7 @@
 	m.mu.Unlock()
 	f.publishEntry(m)
 	f.checker.recordDraining(m.ID)
+	m.Leave()
 }
 
 // removeEntry removes a target from the store, while it goes on serving.
@@ -363,6 +377,7 @@
 	f.mu.Lock()
 	f.targets[m.ID] = next
 	f.mu.Unlock()
+	f.checker.recordNewProcess(m.ID)
 	m.process.Store(next.Target)
 	f.publishEntry(next)
 }
--- a/cmd/soak/restore_test.go
+++ b/cmd/soak/restore_test.go
@@ -211,9 +211,8 @@
 
 // processStart returns when the process of the VM to which a request was sent started.
 func (f *fleet) processStart(request string) time.Time {
-	at, _ := f.sentTo.Load(request)
-	started, _ := at.(time.Time)
-	return started
+	s, _ := f.submissionOf(request)
+	return s.vmStart
 }
 
 // playRestores restores the store of a fleet while targets leave, the configuration
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -255,14 +255,18 @@
 	req.Header.Set("Request-Deadline", strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	req.Header.Set("Shard-Key", strconv.Itoa(key))
 	v.mu.Lock()
-	l.f.sentTo.Store(id, v.startedAt)
+	sent := submission{vm: v.name, vmStart: v.startedAt, vmPauses: v.pauses, at: time.Now()}
 	v.mu.Unlock()
+	l.f.sentTo.Store(id, sent)
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	if _, target, ok := strings.Cut(string(body), " from "); ok && resp.Header.Get("Server-Leaving") == "1" {
+		l.f.checker.recordLeavingPassedOn(sent, target)
+	}
 	return resp.StatusCode, string(body), err
 }
 
--- a/core/lending/counts.go
+++ b/core/lending/counts.go
@@ -9,11 +9,11 @@
 	Refused map[Reason]int
 	Waiting int // number of requests in all queues now
 	// Targets is the number of usable targets. Cold counts those of them that are
-	// warming up, BackingOff those that are in backoff because they could not be
-	// reached. Slots is the sum over the usable targets, InFlight the number of
+	// warming up, Leaving those that get no requests because they leave, BackingOff those
+	// that are in backoff because they could not be reached. Slots is the sum over the usable targets, InFlight the number of
 	// requests at all targets.
-	Targets, Cold, BackingOff int
-	Slots, InFlight           int
+	Targets, Cold, Leaving, BackingOff int
+	Slots, InFlight                    int
 	// Locality tells how each data centre's requests were served since the last
 	// TakeCounts; it is nil unless Config.Spillover is set.
 	Locality []LocalityCounts
@@ -36,7 +36,10 @@
 		if t.cold(now) {
 			c.Cold++
 		}
-		if !t.available(now) {
+		switch {
+		case t.leaves(now):
+			c.Leaving++
+		case !t.available(now):
 			c.BackingOff++
 		}
 	}
--- a/core/lending/lending.go
+++ b/core/lending/lending.go
@@ -54,6 +54,7 @@
 	Overload    Reason = "overload"     // with the present queue it would be answered too late
 	NoTarget    Reason = "no-target"    // no target is available
 	NoOwner     Reason = "no-owner"     // the key has no owner that can be reached
+	Leaving     Reason = "leaving"      // all targets for it have announced that they leave
 	NoBudget    Reason = "retry-budget" // the retry budget is used up
 	Quarantined Reason = "suspect"      // the request was in flight when targets crashed
 	Expired     Reason = "deadline"     // it waited until it could no longer be answered before its deadline
@@ -66,6 +67,7 @@
 	Lent    bool
 	Target  string // Target and Address are set if Lent
 	Address string
+	Life    int64 // of the target's process, like Target
 	// Reason and RetryAfter are set if the request is refused. RetryAfter is the
 	// wait that is asked of the caller.
 	Reason     Reason
@@ -109,6 +111,10 @@
 	Slots                   int           // the most requests that it runs at once
 	ColdUntil               time.Duration // time until which the target is cold, that is, warming up
 	ColdRate                float64       // requests/s while cold
+	// Leaving is set once the target has announced that it leaves. No request is sent to it
+	// any more, except for keys that it owns until KeysUntil.
+	Leaving   bool
+	KeysUntil time.Duration
 }
 
 // Config holds the limits of a Lender.
--- a/core/lending/localshare.go
+++ b/core/lending/localshare.go
@@ -252,7 +252,7 @@
 func (l *Lender) localRate(now time.Duration) float64 {
 	floor := 0.0
 	for _, t := range l.targetList {
-		if t.usable {
+		if t.usable && !t.leaves(now) {
 			floor += l.floorRate(t)
 		}
 	}
--- a/core/lending/queue.go
+++ b/core/lending/queue.go
@@ -106,6 +106,15 @@
 	return now+l.expectedWork(r.Route) <= r.Objective
 }
 
+// unavailableReason says why requests for the keys of a target that is not available are
+// refused.
+func (t *target) unavailableReason(now time.Duration) Reason {
+	if t.leaves(now) {
+		return Leaving
+	}
+	return NoOwner
+}
+
 // admit decides whether a request is refused at once, and returns the refusal.
 // A request is refused if the lender does not know its targets yet, if equal
 // requests crashed targets, if it is a retry and the retry budget is used up, if
@@ -153,14 +162,18 @@
 		return l.expectedOwnerWait(now, r)
 	}
 	var slots float64
-	free := false
+	free, leaving := false, false
 	for _, t := range l.targetList {
 		if !t.available(now) {
+			leaving = leaving || t.usable && t.leaves(now)
 			continue
 		}
 		slots += float64(l.slotsOf(now, t)) / t.slowness.usually()
 		free = free || l.hasRoom(now, t)
 	}
+	if slots == 0 && leaving {
+		return minRetryAfter, Leaving
+	}
 	if slots == 0 {
 		return minRetryAfter, NoTarget
 	}
@@ -184,7 +197,7 @@
 	case state == Moving:
 		return 0, "" // the queue bounds the wait by ownerWaitTimeout
 	case !t.available(now):
-		return ownerWaitTimeout, NoOwner
+		return ownerWaitTimeout, t.unavailableReason(now)
 	}
 	ahead := t.queue.workAhead(now, r, l)
 	if ahead == 0 && l.hasRoom(now, t) {
@@ -322,12 +335,13 @@
 	if r.Key == NoKey {
 		return false
 	}
-	wait := ownerWaitTimeout
+	wait, reason := ownerWaitTimeout, NoOwner
 	switch t, state := l.ownerOf(now, r.Key); state {
 	case Held:
 		if t.available(now) {
 			return false
 		}
+		reason = t.unavailableReason(now)
 	case Moving:
 		if now <= r.Arrived+ownerWaitTimeout {
 			return false
@@ -337,7 +351,7 @@
 			return false
 		}
 	}
-	l.refuse(now, r, Decision{Reason: NoOwner, RetryAfter: wait})
+	l.refuse(now, r, Decision{Reason: reason, RetryAfter: wait})
 	return true
 }
 
@@ -348,7 +362,7 @@
 	l.takeLocal(now, t)
 	l.lentCount++
 	l.leases[r.ID] = &slotLease{Request: *r, target: t, sentAt: now}
-	l.decisions = append(l.decisions, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Waited: now - r.Arrived})
+	l.decisions = append(l.decisions, Decision{ID: r.ID, Lent: true, Target: t.ID, Address: t.Address, Life: t.Life, Waited: now - r.Arrived})
 }
 
 // fingerprintInFlight reports whether a request with a fingerprint holds a slot.
--- a/core/lending/target.go
+++ b/core/lending/target.go
@@ -105,9 +105,14 @@
 	return t, Held
 }
 
-// available reports whether a target is usable and not in backoff. It may still
-// have no free slot.
-func (t *target) available(now time.Duration) bool { return t.usable && now >= t.backoffUntil }
+// available reports whether a target is usable, does not leave and is not in backoff. It
+// may still have no free slot.
+func (t *target) available(now time.Duration) bool {
+	return t.usable && now >= t.backoffUntil && !t.leaves(now)
+}
+
+// leaves reports whether a target gets no more requests because it leaves.
+func (t *target) leaves(now time.Duration) bool { return t.Leaving && now >= t.KeysUntil }
 
 // cold reports whether a target has to be sent few requests, because it has not
 // warmed up yet.
--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -74,6 +74,7 @@
 // included.
 type KeyCall struct {
 	Target, Address string
+	Life            int64 // of the target's process; 0 if unknown
 	From, To        int
 	Fence           int64
 	Hold            time.Duration // grants only
@@ -311,7 +312,7 @@
 		l.finish(a, keyspace.NotSent, "", errors.New("a later life of the target is registered"))
 		return
 	}
-	call := KeyCall{Target: a.Holder.Target, Address: address, From: a.From, To: a.To, Fence: a.Fence, Hold: a.Hold, Handover: a.Handover}
+	call := KeyCall{Target: a.Holder.Target, Address: address, Life: life, From: a.From, To: a.To, Fence: a.Fence, Hold: a.Hold, Handover: a.Handover}
 	timeout := callTimeout
 	if a.Kind == keyspace.Release {
 		timeout = keyReleaseTimeout
@@ -392,7 +393,7 @@
 	var out []keyspace.Candidate
 	for _, t := range l.view.TargetsOf(l.service) {
 		h := keyspace.Holder{Target: t.ID, Life: t.Life}
-		if !t.Usable || l.keys.FailingFor(now, h) > unreachableAfter {
+		if !t.Usable || t.Announced || l.keys.FailingFor(now, h) > unreachableAfter {
 			continue
 		}
 		capacity := float64(t.Slots) / l.lender.Slowness(t.ID)
--- a/node/cell/lend.go
+++ b/node/cell/lend.go
@@ -77,7 +77,7 @@
 		return Slot{}, noLeader
 	}
 	began := s.clock.Now()
-	a.SentAt = s.clockOf(vm)
+	a.SentAt, a.Leaving = s.clockOf(vm), s.view.Announcements(a.Service)
 	silent, done := s.awaitLeader(vm, began)
 	defer done()
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.Deadline+lendSlack)
@@ -208,10 +208,11 @@
 	if u.Result == lending.Answered {
 		s.localLender(slot.service).noteWork(u.Took)
 	}
+	args := ReturnArgs{Service: slot.service, Usage: u, Leaving: s.view.Announcements(slot.service)}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, returnTimeout)
 		defer cancel()
-		err := s.peers.Call(ctx, slot.leader, RPCName+".Return", ReturnArgs{Service: slot.service, Usage: u}, &struct{}{})
+		err := s.peers.Call(ctx, slot.leader, RPCName+".Return", args, &struct{}{})
 		if err != nil && !errors.Is(err, context.Canceled) {
 			s.logger.Info("could not return a slot to the leader", "leader", slot.DecidedBy, "service", slot.service, "error", err)
 		}
--- a/node/cell/lenderdriver.go
+++ b/node/cell/lenderdriver.go
@@ -318,6 +318,7 @@
 		infos = append(infos, lending.TargetInfo{
 			ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Life: t.Life, Slots: t.Slots,
 			ColdUntil: t.ColdUntil, ColdRate: svc.ColdRate * d.coldShare,
+			Leaving: t.Announced, KeysUntil: keysUntil(svc, t.AnnouncedAt),
 		})
 	}
 	d.lender.SetTargets(now, infos)
--- a/node/cell/messages.go
+++ b/node/cell/messages.go
@@ -32,6 +32,8 @@
 	// it; 0 if unknown, and from VMs of earlier versions, which do not give up a silent
 	// leader.
 	SentAt time.Duration
+	// Leaving are the targets of the service that the sender knows to leave.
+	Leaving []view.Announcement
 }
 
 // after returns the request with its times adjusted for having waited.
@@ -60,6 +62,7 @@
 type ReturnArgs struct {
 	Service string
 	Usage   lending.Usage
+	Leaving []view.Announcement // as in LendArgs
 }
 
 // SyncArgs is a heartbeat. If Passes is set, it also asks for what the called VM knows
--- a/node/cell/rpc.go
+++ b/node/cell/rpc.go
@@ -21,6 +21,7 @@
 		return errors.Errorf("request %s of VM %s: the key %d is out of range", a.RequestID, a.VM, a.Key)
 	}
 	defer func() { reply.Clock = h.s.clock.Now() }()
+	h.s.learnLeaving(a.VM, a.Service, a.Leaving)
 	l := h.s.currentLeadership(a.Service)
 	if l == nil {
 		h.s.redirectToLeader(a.Service, reply)
@@ -85,6 +86,7 @@
 // Return takes back a slot that this VM lent, if it still leads the cell.
 func (h *handler) Return(a ReturnArgs, _ *struct{}) (err error) {
 	defer h.s.guard.RecoverError(&err, "answer the RPC Return")
+	h.s.learnLeaving("", a.Service, a.Leaving)
 	if l := h.s.leadershipOf(a.Service); l != nil {
 		l.returnSlot(a.Usage)
 	}
--- a/node/cell/service.go
+++ b/node/cell/service.go
@@ -72,6 +72,7 @@
 	lastID     atomic.Uint64
 	claims     metrics.Counter
 	localLends metrics.Counter
+	leaving    metrics.Counter // targets that have announced that they leave
 	// lendFallbacks counts the Lend calls that were given up because the leader was silent.
 	lendFallbacks metrics.Counter
 	// expiredInPauses counts the requests of other VMs that were dropped because they
@@ -136,6 +137,7 @@
 		guard:           panics.New(c.Logger, c.Registry),
 		claims:          metrics.GetOrRegisterCounter("cell.claims", c.Registry),
 		localLends:      metrics.GetOrRegisterCounter("cell.lent_alone", c.Registry),
+		leaving:         metrics.GetOrRegisterCounter("cell.targets_leaving", c.Registry),
 		lendFallbacks:   metrics.GetOrRegisterCounter("cell.lend_fallbacks", c.Registry),
 		lendWaits:       map[string]*lendWait{},
 		load:            newLoadMonitor(c.Registry),
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/mangogate/mangogate/node/panics"
 	"github.com/mangogate/mangogate/node/upstream"
 	"github.com/mangogate/mangogate/node/view"
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -42,6 +43,9 @@
 	MatchesRequest(m Meta) func(http.Header) bool
 	// FromTarget returns what an answer's status and header say about the attempt.
 	FromTarget(status int, h http.Header) AnswerInfo
+	// Leaving reports whether a target says in the header of an answer that it is about to
+	// stop. The error tells of a value that has no meaning.
+	Leaving(h http.Header) (bool, error)
 	// Refuse sets the headers of an answer that reports that the request was not
 	// run.
 	Refuse(h http.Header, m Meta, retryAfter time.Duration)
@@ -98,6 +102,7 @@
 	closing    atomic.Bool
 	inProgress requestSet
 	stats      *stats
+	givenBack  metrics.Counter // slots that were not used because their target leaves
 	workspaces workspaceCheck
 
 	maxConnections int
@@ -131,6 +136,7 @@
 	return &Gateway{
 		vm: c.VM.ID, dataCentre: c.VM.DataCentre, codec: c.Codec, view: c.View, cells: c.Cells, targets: c.Targets,
 		clock: c.Clock, bodies: c.Bodies, logger: c.Logger, guard: panics.New(c.Logger, c.Registry), stats: newStats(c.Registry),
+		givenBack:  metrics.GetOrRegisterCounter("gateway.slots_given_back_leaving", c.Registry),
 		inProgress: requestSet{requests: map[*request]struct{}{}}, workspaces: newWorkspaceCheck(c),
 		maxConnections: c.MaxConnections,
 	}
@@ -161,6 +167,7 @@
 	answering     bool            // the answer to the caller has begun
 	answeredAt    map[string]bool // addresses at which an earlier attempt was answered
 	avoid         string          // target of the last attempt, which the next one avoids
+	givenBack     int             // slots that were not used because their target leaves
 }
 
 // ServeHTTP implements http.Handler.
@@ -363,14 +370,22 @@
 		q.handleWaitEnd(err)
 		return true
 	}
+	life := q.g.cells.LifeOf(slot)
+	if !q.g.cells.MaySend(slot, life) {
+		return q.giveBack(slot)
+	}
 	q.attempts++
 	header := forwardedHeader(q.r.Header)
 	q.g.codec.ToTarget(header, q.Meta, slot.Target, remaining)
 	answer, err := q.g.targets.Do(q.ctx, upstream.Request{
-		Target: slot.Target, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
+		Target: slot.Target, Life: life, Address: slot.Address, Method: q.r.Method, URI: q.r.RequestURI, Host: q.r.Host,
 		Header: header, Body: q.body.Pieces(), NonIdempotent: !q.route.Idempotent, MatchesRequest: q.g.codec.MatchesRequest(q.Meta),
-		NewConnection: q.ID == "" || q.answeredAt[slot.Address], BeforeSend: q.waitCtx.Err,
+		NewConnection: q.ID == "" || q.answeredAt[slot.Address], BeforeSend: func() error { return q.beforeSend(slot, life) },
 	})
+	if errors.Is(err, errTargetLeaves) {
+		q.attempts--
+		return q.giveBack(slot)
+	}
 	if err != nil {
 		return q.handleSendError(slot, err)
 	}
@@ -406,6 +421,40 @@
 	return true
 }
 
+// errTargetLeaves means that a request was not sent because its target leaves.
+var errTargetLeaves = errors.New("the target leaves")
+
+// beforeSend returns an error if an attempt must not be sent any more.
+func (q *request) beforeSend(slot cell.Slot, life int64) error {
+	if err := q.waitCtx.Err(); err != nil {
+		return err
+	}
+	if !q.g.cells.MaySend(slot, life) {
+		return errTargetLeaves
+	}
+	return nil
+}
+
+// maxGivenBack is how many slots of targets that leave a request gives back before it ends.
+// The VM that lends slots learns of each of them, so further ones mean that it does not heed it.
+const maxGivenBack = 3
+
+// giveBack returns a slot unused because its target leaves. The result is that of send.
+func (q *request) giveBack(slot cell.Slot) bool {
+	q.g.cells.Return(slot, lending.Usage{Result: lending.Unused})
+	q.g.givenBack.Inc(1)
+	q.logAttempt("not sent: the target leaves", slot, 0, nil)
+	if q.givenBack++; q.givenBack < maxGivenBack {
+		return false
+	}
+	if q.mayHaveRun {
+		q.answerUnknown("not sent again: the targets leave", slot.Target)
+	} else {
+		q.refuse(string(lending.Leaving), defaultRetryAfter)
+	}
+	return true
+}
+
 // mayRetry reports whether a request that may have run is sent again. Only
 // idempotent requests are.
 func (q *request) mayRetry(maxAttempts int) bool {
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -53,6 +53,8 @@
 	return info
 }
 
+func (fakeCodec) Leaving(h http.Header) (bool, error) { return h.Get("Leaving") != "", nil }
+
 func (fakeCodec) Refuse(h http.Header, _ Meta, after time.Duration) {
 	h.Set("Retry-After", after.String())
 }
@@ -129,7 +131,13 @@
 	server := peer.NewServer("127.0.0.1:0", nil, nil, logger, registry)
 	cells, err := cell.New(cell.Config{Self: self, View: v, Clock: c, Peers: peer.NewClient(nil, nil, registry), Server: server, Logger: logger, Registry: registry})
 	require.NoError(t, err)
-	g := New(Config{VM: self, Codec: fakeCodec{}, View: v, Cells: cells, Targets: upstream.New(net.Dialer{}, registry), Clock: c, Logger: logger, Registry: registry,
+	client := upstream.New(net.Dialer{}, registry)
+	client.OnAnswer = func(r upstream.Request, h http.Header) {
+		if leaving, _ := (fakeCodec{}).Leaving(h); leaving {
+			cells.NoteLeaving(r.Target, r.Address, r.Life)
+		}
+	}
+	g := New(Config{VM: self, Codec: fakeCodec{}, View: v, Cells: cells, Targets: client, Clock: c, Logger: logger, Registry: registry,
 		Bodies: limits.Bodies, MaxConnections: limits.MaxConnections})
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/node/router/router.go
+++ b/node/router/router.go
@@ -86,6 +86,7 @@
 	drain     atomic.Pointer[gateway.Drain]
 	clients   []*upstream.Client
 	cells     *cell.Service
+	leaving   *leavingWatch
 	stopSweep context.CancelFunc
 }
 
@@ -95,7 +96,7 @@
 	if _, err := rand.Read(boot); err != nil {
 		return nil, errors.Wrap(err, "create boot id")
 	}
-	r := &Router{kernel: kernel.New(), logger: logger, registry: registry}
+	r := &Router{kernel: kernel.New(), logger: logger, registry: registry, leaving: newLeavingWatch(a.Codec(), logger.Named("targets"))}
 	self := fleet.VM{ID: s.VM, DataCentre: s.DataCentre, PeerAddress: s.Peers, Cores: s.Cores, LinkMbps: s.LinkMbps, Boot: hex.EncodeToString(boot)}
 	return r, r.assemble(s, self, a)
 }
@@ -117,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	r.cells = cells
+	r.cells, r.leaving.note = cells, cells.NoteLeaving
 	budget := bodies.New(s.BodyMemory, r.logger.Named("bodies"), r.registry)
 	r.logger.Info("limits for callers", "body_memory", s.BodyMemory, "connections", s.CallerConnections)
 	if !budget.HoldsMaxBody() {
@@ -156,7 +157,7 @@
 	d := net.Dialer{KeepAlive: time.Second, Control: peer.SetUserTimeout}
 	peer.BindSource(&d, local)
 	c := upstream.New(d, r.registry)
-	c.AnswerMemory = answerMemory
+	c.AnswerMemory, c.OnAnswer = answerMemory, r.leaving.handleAnswer
 	r.clients = append(r.clients, c)
 	return c
 }
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -49,6 +49,7 @@
 // Request is one attempt to run a request at a target.
 type Request struct {
 	Target  string
+	Life    int64 // identifies the process of the target; 0 if unknown
 	Address string
 	Method  string
 	URI     string // path and query, as the caller sent them
@@ -115,6 +116,9 @@
 	// AnswerMemory limits the memory, in bytes, that the bodies of large answers use
 	// together. It must be set before the first request.
 	AnswerMemory int64
+	// OnAnswer, if it is set, is called with the header of each answer that belongs to a
+	// request, before its body is read. It must be set before the first request.
+	OnAnswer func(r Request, h http.Header)
 
 	memory     BodyMemory
 	dialer     net.Dialer
@@ -405,6 +409,9 @@
 				return nil, errors.Wrap(err, "receive an answer to another request")
 			}
 		default:
+			if c.OnAnswer != nil {
+				c.OnAnswer(r, resp.Header)
+			}
 			body, reserved, err := c.memory.ReadBody(resp, c.AnswerMemory)
 			if err != nil {
 				return nil, errors.Wrap(err, "receive body")
--- a/node/view/read.go
+++ b/node/view/read.go
@@ -14,9 +14,13 @@
 	// ColdUntil is the reading of the view's clock up to which the target counts as
 	// cold, after its own start or the return of its data centre to service.
 	ColdUntil time.Duration
-	// Usable is false for targets that are leaving and for targets in a data centre
-	// that is out of service.
+	// Usable is false for targets that are registered as leaving and for targets in a data
+	// centre that is out of service.
 	Usable bool
+	// Announced is set if the target has announced to a VM that it leaves, at AnnouncedAt on
+	// the view's clock. The store may not say so, or not be reachable.
+	Announced   bool
+	AnnouncedAt time.Duration
 }
 
 // TargetsOf returns the targets of a service, ordered by id. In the grace period after
@@ -44,6 +48,10 @@
 
 func (v *View) knownTarget(e *entry) KnownTarget {
 	t := KnownTarget{Target: *e.Target, Usable: !e.Target.Leaving && !v.outOfService(e.Target.DataCentre)}
+	if l, ok := v.leaveOf(e.Target.ID, e.Target.Life); ok {
+		t.Usable = t.Usable && !l.registered
+		t.Announced, t.AnnouncedAt = true, l.at
+	}
 	if e.Target.ColdFor > 0 {
 		t.ColdUntil = e.seenAt + e.Target.ColdFor
 	}
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -120,6 +120,7 @@
 	// goneTargets keeps the last entries of removed targets, by id, for their
 	// addresses: the targets may still hold keys.
 	goneTargets map[string]*entry
+	leaves      map[string]leave // by target id
 	prunedAt    time.Duration
 	unread      [numLogs][]span
 	unsettled   []unsettledChange // what a restored store says otherwise than the view
@@ -149,7 +150,7 @@
 // which the VM is suspended.
 func New(now func() time.Duration, logger hclog.Logger) *View {
 	v := &View{now: now, logger: logger, changed: make(chan struct{}), graceTargets: map[string]*entry{},
-		dcReturnedAt: map[string]time.Duration{}, goneTargets: map[string]*entry{}}
+		dcReturnedAt: map[string]time.Duration{}, goneTargets: map[string]*entry{}, leaves: map[string]leave{}}
 	for i := range v.entries {
 		v.entries[i] = map[string]*entry{}
 	}
@@ -271,6 +272,7 @@
 			}
 		}
 	}
+	v.pruneLeaves(now)
 }
 
 // advance records that a log was known up to end at the time began. It ignores an end
@@ -303,12 +305,17 @@
 		any = true
 	}
 	if any {
-		v.version++
-		close(v.changed)
-		v.changed = make(chan struct{})
+		v.noteChange()
 	}
 }
 
+// noteChange raises the version of the view and wakes those that wait for a change.
+func (v *View) noteChange() {
+	v.version++
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
 // repeatsTarget reports whether a target's registration only repeats the previous one.
 // A registration with a cold period never does, since the period starts again with it.
 func (v *View) repeatsTarget(old, e *entry) bool {
--- a/standin/holder/holder.go
+++ b/standin/holder/holder.go
@@ -44,6 +44,7 @@
 	running        int
 	runningChanged sync.Cond
 	shedding       bool
+	leaving        bool
 	crashed        bool
 }
 
@@ -63,6 +64,13 @@
 	t.shedding = shed
 }
 
+// Leave makes the target say in all its answers that it leaves.
+func (t *Target) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
 // Crash stops the target permanently: it drops its keys and aborts all
 // connections without an answer.
 func (t *Target) Crash() {
@@ -91,6 +99,11 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	t.mu.Lock()
+	if t.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	t.mu.Unlock()
 	if instance := r.Header.Get("Target-Instance"); instance != "" && instance != t.ID {
 		w.Header().Set("Instance-Id", t.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
