A leaving target stays one when an earlier entry of it is carried out late

What callers would see: requests that run in vain at a target that ends, more than 2 s after it had reported draining (DRAIN).

Cause: entries of one process are ordered by position alone. The store may carry out an unanswered append seconds late, so an entry "ready" can follow "draining", also after the removal of the entry.

Change: that the store says so counts like the word of the target itself, for its lifetime. A log line tells of each entry that is ignored for it.

Evidence: TestLateEntryDoesNotReviveALeavingTarget failed without the change.

--- a/node/view/leaving_test.go
+++ b/node/view/leaving_test.go
@@ -24,6 +24,21 @@
 	return out
 }
 
+// Guards against a target that is used again because the store carries out an earlier append
+// of it late: the later position brings back that it is ready.
+func TestLateEntryDoesNotReviveALeavingTarget(t *testing.T) {
+	now := time.Second
+	v := newTestView(&now)
+	v.Apply(Targets, []Change{process(0, "a", 1, false), process(1, "a", 1, true)}, 2, 0)
+	v.Apply(Targets, []Change{process(2, "a", 1, false)}, 3, 0)
+	assert.Empty(t, usable(v))
+	v.Apply(Targets, []Change{{Log: Targets, Key: "a", Offset: 3}}, 4, 0)
+	v.Apply(Targets, []Change{process(4, "a", 1, false)}, 5, 0)
+	assert.Empty(t, usable(v), "after its removal")
+	v.Apply(Targets, []Change{process(5, "a", 2, false)}, 6, 0)
+	assert.Equal(t, []string{"a"}, usable(v), "a new process starts clean")
+}
+
 // Guards against what a target says of itself being forgotten: by a later entry, by a view
 // from behind, by the removal of the entry or by a restored store. A new process starts clean,
 // and the word of an earlier process does not count for it.
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -353,6 +353,12 @@
 	delete(v.graceTargets, e.Key)
 	switch {
 	case e.Target != nil:
+		if l, ok := v.leaveOf(e.Key, e.Target.Life); e.Target.Leaving {
+			v.noteLeave(e.Key, leave{life: e.Target.Life, at: now, registered: true})
+		} else if ok && l.registered {
+			v.logger.Info("ignores that a target is registered as ready: its process has announced that it leaves", "target", e.Key,
+				"life", e.Target.Life, "leaving_life", l.life, "leaving_for", now-l.at, "offset", e.Offset)
+		}
 		if old == nil || old.Target == nil || old.Target.Life != e.Target.Life || old.Target.Leaving != e.Target.Leaving {
 			t := e.Target
 			v.logger.Info("target is new or has changed", "target", t.ID, "service", t.Service, "address", t.Address, "data_centre", t.DataCentre,
