Calls for keys are not sent to the address of an earlier life of their holder

Change: perform sends no call to a life that is earlier than the holder's. The result is "not sent", so the keys wait for the end of the hold, or for the next entry of the target.

--- a/node/cell/lead.go
+++ b/node/cell/lead.go
@@ -312,6 +312,12 @@
 		l.finish(a, keyspace.NotSent, "", errors.New("a later life of the target is registered"))
 		return
 	}
+	if life < a.Holder.Life {
+		// A late or restored record names an earlier life. Another target that answers at its
+		// address does not prove that the holder has ended.
+		l.finish(a, keyspace.NotSent, "", errors.New("only an earlier life of the target is known"))
+		return
+	}
 	call := KeyCall{Target: a.Holder.Target, Address: address, Life: life, From: a.From, To: a.To, Fence: a.Fence, Hold: a.Hold, Handover: a.Handover}
 	timeout := callTimeout
 	if a.Kind == keyspace.Release {
--- a/node/cell/renewals_test.go
+++ b/node/cell/renewals_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -148,3 +149,41 @@
 	assert.Equal(t, map[string]int{"t-1": 1}, caller.grants)
 	assert.Empty(t, l.dueCalls(), "keys of an earlier life are not granted again")
 }
+
+// endedCaller implements KeyCaller with addresses that have gone to other targets.
+type endedCaller struct{ calls atomic.Int32 }
+
+func (c *endedCaller) Grant(context.Context, KeyCall, func() error) (keyspace.CallResult, error) {
+	c.calls.Add(1)
+	return keyspace.Ended, nil
+}
+
+func (c *endedCaller) Release(context.Context, KeyCall) (string, keyspace.CallResult, error) {
+	c.calls.Add(1)
+	return "", keyspace.Ended, nil
+}
+
+// Guards against two holders of a key: a leader that knows only an earlier life of a target,
+// from a late or a restored record, asked at that life's address, where another target
+// answered, and took this for the end of the later life, which holds the keys.
+func TestAddressOfEarlierLifeDoesNotEndTheHolder(t *testing.T) {
+	l, _, _ := newKeyLeadership(t, 2)
+	ended := &endedCaller{}
+	l.s.keyCaller = ended
+	holder := keyspace.Holder{Target: "t-0", Life: 2} // the view knows the life 0
+	bound := l.now() + time.Minute
+	l.keys = keyspace.New(keyConfig(fleet.ShortestHold), []keyspace.Assignment{{To: keyspace.Keys - 1, Owner: holder, Fence: 1}}, bound)
+	perform := func() (kinds []keyspace.ActionKind) {
+		for _, a := range l.dueCalls() {
+			kinds = append(kinds, a.Kind)
+			l.perform(context.Background(), a)
+		}
+		return kinds
+	}
+	assert.Equal(t, []keyspace.ActionKind{keyspace.Grant}, perform())
+	l.keys.Propose(l.now(), []keyspace.Candidate{{Holder: keyspace.Holder{Target: "t-1"}, Capacity: 3}}, l.load)
+	l.keys.Committed(l.now(), 2)
+	assert.Equal(t, []keyspace.ActionKind{keyspace.Release}, perform())
+	assert.Empty(t, perform(), "the keys were granted to another target while the holder may hold them")
+	assert.Zero(t, ended.calls.Load(), "calls to the address of the earlier life")
+}
