A late record of a target does not bring back one whose entry was removed

What callers would see: requests that run in vain at a target that has left without a word but the removal of its entry (DRAIN).

Cause: records of targets were ordered by position alone. An unanswered append that the store carries out after the removal made the target usable again until its entry lapsed.

Change: records of one process are ordered by their sequence. After a removal only a later record than the last known one counts, as when an entry has lapsed and comes back. Records of other processes are ordered by position as before.

Not covered: the last record of a process, if its first appearance is after the removal; it cannot be told from one that comes back.

--- a/node/view/leaving_test.go
+++ b/node/view/leaving_test.go
@@ -39,6 +39,32 @@
 	assert.Equal(t, []string{"a"}, usable(v), "a new process starts clean")
 }
 
+// Guards against a target that is used again after its entry was removed, which may be the only
+// word that it leaves: the store carries out an earlier append of it late. A target whose entry
+// had lapsed comes back with its next one, and a new process counts anew.
+func TestLateEntryDoesNotBringATargetBack(t *testing.T) {
+	now := time.Second
+	v := newTestView(&now)
+	record := func(offset, life int64, sequence float64) {
+		c := process(offset, "a", life, false)
+		c.Sequence = sequence
+		v.Apply(Targets, []Change{c}, offset+1, 0)
+	}
+	record(0, 1, 7)
+	record(1, 1, 8) // repeats the first
+	v.Apply(Targets, []Change{{Log: Targets, Key: "a", Offset: 2}}, 3, 0)
+	for offset, sequence := range []float64{6, 7, 8} {
+		record(int64(3+offset), 1, sequence)
+		assert.Empty(t, usable(v), "sequence %v", sequence)
+	}
+	record(6, 1, 9)
+	assert.Equal(t, []string{"a"}, usable(v), "it had lapsed")
+	v.Apply(Targets, []Change{{Log: Targets, Key: "a", Offset: 7}}, 8, 0)
+	record(8, 2, 1)
+	assert.Equal(t, []string{"a"}, usable(v), "a new process")
+	assert.EqualValues(t, 9, v.End(Targets))
+}
+
 // Guards against what a target says of itself being forgotten: by a later entry, by a view
 // from behind, by the removal of the entry or by a restored store. A new process starts clean,
 // and the word of an earlier process does not count for it.
--- a/node/view/view.go
+++ b/node/view/view.go
@@ -47,9 +47,11 @@
 	Config *fleet.Config
 	OutOf  string // data centre that is out of service
 	Target *fleet.Target
-	VM     *fleet.VM
-	Cell   *fleet.Cell
-	Packed []byte // Config or Cell in compressed form, as sent between VMs
+	// Sequence rises with each record that a target's process writes; 0 if it is unknown.
+	Sequence float64
+	VM       *fleet.VM
+	Cell     *fleet.Cell
+	Packed   []byte // Config or Cell in compressed form, as sent between VMs
 }
 
 // isTombstone reports whether the change has no value.
@@ -86,13 +88,14 @@
 type entry struct {
 	Change
 	latestOffset int64                  // position of the newest record of the key, which may have repeated the value
+	sequence     float64                // of that record, if it is a target's
 	shadowed     bool                   // the store holds a later record of the key that is not valid; cells only
 	seenAt       time.Duration          // when a VM read the change from the store
 	packed       func() (Change, error) // the change as sent to other VMs, computed once
 }
 
 func newEntry(c Change, seenAt time.Duration) *entry {
-	return &entry{Change: c, latestOffset: c.Offset, seenAt: seenAt, packed: sync.OnceValues(func() (Change, error) { return pack(c) })}
+	return &entry{Change: c, latestOffset: c.Offset, sequence: c.Sequence, seenAt: seenAt, packed: sync.OnceValues(func() (Change, error) { return pack(c) })}
 }
 
 // View is the replica. It is safe for concurrent use.
@@ -292,12 +295,12 @@
 	now, any := v.now(), false
 	for _, c := range changes {
 		old := v.entries[c.Log][c.Key]
-		if old != nil && !old.isReplacedBy(&c) {
+		if old != nil && !old.isReplacedBy(&c) || v.isLateRecord(old, &c) {
 			continue
 		}
 		e := newEntry(c, now-max(0, c.Age)) // nothing is fresher than now, whatever another VM says
 		if v.repeatsTarget(old, e) {
-			old.latestOffset = c.Offset
+			old.latestOffset, old.sequence = c.Offset, max(old.sequence, c.Sequence)
 			continue
 		}
 		v.entries[c.Log][c.Key] = e
@@ -316,6 +319,27 @@
 	v.changed = make(chan struct{})
 }
 
+// isLateRecord reports whether a record of a target was written before one of the same
+// process that the view knows or knew: the store may carry out an append late, also after the
+// removal of the entry.
+func (v *View) isLateRecord(old *entry, c *Change) bool {
+	if c.Target == nil || c.Sequence == 0 || old == nil {
+		return false
+	}
+	last := old
+	if old.Target == nil {
+		if last = v.goneTargets[c.Key]; last == nil {
+			return false
+		}
+	}
+	late := last.Target.Life == c.Target.Life && (c.Sequence < last.sequence || old.Target == nil && c.Sequence == last.sequence)
+	if late {
+		v.logger.Info("ignores an earlier record of a target, which the store has carried out late", "target", c.Key, "life", c.Target.Life,
+			"sequence", c.Sequence, "known_sequence", last.sequence, "registered", old.Target != nil, "offset", c.Offset)
+	}
+	return late
+}
+
 // repeatsTarget reports whether a target's registration only repeats the previous one.
 // A registration with a cold period never does, since the period starts again with it.
 func (v *View) repeatsTarget(old, e *entry) bool {
