Parsed heads count towards the memory for bodies

Cause: only the bytes of a head on the wire were limited. A parsed field takes over 100 bytes beside its text, and nothing counted the heads of the requests in progress.

Change: a head whose parsed form takes over 8 KiB counts towards the budget of bodies, of which all heads may use half. Beyond that a request is refused at once with 503, "no-memory-for-head", and its head is let go before the rest of its body is discarded.

--- a/node/bodies/budget.go
+++ b/node/bodies/budget.go
@@ -20,6 +20,9 @@
 	// firstBytes of each body are admitted up to the whole budget, the rest only up to
 	// Budget.large, so that large bodies do not displace small ones and answers.
 	firstBytes = 64 << 10
+	// headsPart is the part of the budget, one in headsPart, that heads may use, so that
+	// large ones leave memory for the bodies and answers of other requests.
+	headsPart = 2
 	// waitLimit is the longest wait for memory. It covers the StallTime of bodies that
 	// have just stopped.
 	waitLimit = 2 * time.Second
@@ -39,6 +42,7 @@
 	start        time.Time
 	used         atomic.Int64
 	largeUsed    atomic.Int64
+	heads        atomic.Int64 // bytes of used that AddHead has counted
 	waiting      atomic.Int64 // bodies and answers that wait for memory
 	usedGauge    metrics.Gauge
 	gaveUp       metrics.Counter
@@ -93,6 +97,24 @@
 // Force counts n bytes for an answer also beyond the budget.
 func (b *Budget) Force(n int64) { b.usedGauge.Update(b.used.Add(n)) }
 
+// AddHead counts n bytes for the parsed head of a request, unless all heads would exceed their
+// part of the budget or nothing is left, and reports whether it did. RemoveHead ends that.
+func (b *Budget) AddHead(n int64) bool {
+	if b.heads.Add(n) <= b.limit/headsPart || b.limit == 0 {
+		if b.add(n, 0) {
+			return true
+		}
+	}
+	b.heads.Add(-n)
+	return false
+}
+
+// RemoveHead ends the use of n bytes that AddHead has counted.
+func (b *Budget) RemoveHead(n int64) {
+	b.heads.Add(-n)
+	b.Release(n)
+}
+
 // Release ends the use of n bytes that were passed to Reserve or Force.
 func (b *Budget) Release(n int64) {
 	if n == 0 {
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -175,6 +175,11 @@
 	q := &request{g: g, w: w, r: r, arrived: g.clock.Now()}
 	defer q.abortWithoutAnswer()
 	defer g.guard.RecoverThen(q.answerAfterPanic, "serve a request", "method", r.Method, "path", r.URL.Path)
+	release, ok := q.holdHead()
+	if !ok {
+		return
+	}
+	defer release()
 	meta, err := g.codec.Request(r.Header)
 	q.Meta = meta
 	// The age is read first, so that the configuration is at least as new as it tells.
