Requests are refused while unread answers use up the memory

Cause: answers up to 128 KB counted beyond the budget of bodies, without a limit, and nothing that was sent to targets depended on it.

Change: no request is sent while the budget is used up and such answers are a quarter of it or more. It is refused at once as not run, "no-memory-for-answer"; if it waited for a slot, the slot goes back unused. Bodies that fill the budget leave small answers that quarter.

--- a/node/bodies/budget.go
+++ b/node/bodies/budget.go
@@ -23,6 +23,9 @@
 	// headsPart is the part of the budget, one in headsPart, that heads may use, so that
 	// large ones leave memory for the bodies and answers of other requests.
 	headsPart = 2
+	// forcedPart is the part of the budget, one in forcedPart, that small answers may use
+	// beside bodies that use up the rest.
+	forcedPart = 4
 	// waitLimit is the longest wait for memory. It covers the StallTime of bodies that
 	// have just stopped.
 	waitLimit = 2 * time.Second
@@ -43,6 +46,7 @@
 	used         atomic.Int64
 	largeUsed    atomic.Int64
 	heads        atomic.Int64 // bytes of used that AddHead has counted
+	forced       atomic.Int64 // bytes of used that Force has counted
 	waiting      atomic.Int64 // bodies and answers that wait for memory
 	usedGauge    metrics.Gauge
 	gaveUp       metrics.Counter
@@ -94,8 +98,17 @@
 // that bodies of requests give up, because the request of the answer has been run.
 func (b *Budget) Reserve(n int64) bool { return b.reserve(nil, n, 0) == nil }
 
-// Force counts n bytes for an answer also beyond the budget.
-func (b *Budget) Force(n int64) { b.usedGauge.Update(b.used.Add(n)) }
+// Force counts n bytes for an answer also beyond the budget. ReleaseForced ends that.
+func (b *Budget) Force(n int64) {
+	b.forced.Add(n)
+	b.usedGauge.Update(b.used.Add(n))
+}
+
+// ReleaseForced ends the use of n bytes that were passed to Force.
+func (b *Budget) ReleaseForced(n int64) {
+	b.forced.Add(-n)
+	b.Release(n)
+}
 
 // AddHead counts n bytes for the parsed head of a request, unless all heads would exceed their
 // part of the budget or nothing is left, and reports whether it did. RemoveHead ends that.
@@ -115,7 +128,7 @@
 	b.Release(n)
 }
 
-// Release ends the use of n bytes that were passed to Reserve or Force.
+// Release ends the use of n bytes that were passed to Reserve.
 func (b *Budget) Release(n int64) {
 	if n == 0 {
 		return
@@ -126,6 +139,12 @@
 	b.wake()
 }
 
+// HasRoomForAnswer reports whether a request may be sent, whose answer Force may count: the
+// budget is not used up, or answers that were counted beyond it use only a small part.
+func (b *Budget) HasRoomForAnswer() bool {
+	return b.limit == 0 || b.used.Load() < b.limit || b.forced.Load() < b.limit/forcedPart
+}
+
 // Used returns how many bytes are in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -306,6 +306,9 @@
 // refused, or out of time.
 func (q *request) sendUntilAnswered() {
 	for {
+		if !q.mayHaveRun && q.refuseWithoutMemory() {
+			return
+		}
 		slot, err := q.g.cells.AcquireSlot(q.waitCtx, q.slotRequest())
 		if err != nil {
 			q.handleWaitEnd(err)
@@ -315,12 +318,26 @@
 			q.handleSlotRefused(slot)
 			return
 		}
+		if !q.mayHaveRun && q.refuseWithoutMemory() {
+			q.g.cells.Return(slot, lending.Usage{Result: lending.Unused})
+			return
+		}
 		if done := q.send(slot); done {
 			return
 		}
 	}
 }
 
+// refuseWithoutMemory refuses a request that has not been sent if the answers that callers
+// have not read yet leave no memory for its own, and reports whether it did.
+func (q *request) refuseWithoutMemory() bool {
+	if q.g.bodies.HasRoomForAnswer() {
+		return false
+	}
+	q.refuse("no-memory-for-answer", memoryRetryAfter)
+	return true
+}
+
 func (q *request) slotRequest() cell.LendArgs {
 	now := q.g.clock.Now()
 	key := lending.NoKey
--- a/node/upstream/upstream.go
+++ b/node/upstream/upstream.go
@@ -90,7 +90,7 @@
 func (a *Answer) Release() {
 	a.memory.Release(a.reserved)
 	if a.memory.Budget != nil {
-		a.memory.Budget.Release(a.free)
+		a.memory.Budget.ReleaseForced(a.free)
 	}
 	a.reserved, a.free = 0, 0
 }
