OPTIONS with the asterisk gets no success of the router's own

Cause: net/http answers such a request itself unless it is told not to.

Change: the listener tells it. The request matches no route and gets 404.

Evidence: TestOptionsWithTheAsteriskIsNoSuccess got 200 before.

--- a/node/gateway/listener.go
+++ b/node/gateway/listener.go
@@ -97,6 +97,7 @@
 	s := &http.Server{
 		Handler: l.gateway, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 		MaxHeaderBytes: limits.HeaderBytes, ConnState: l.recordState,
+		DisableGeneralOptionsHandler: true, // it answers "OPTIONS *" with a success that no target gave
 	}
 	go func() {
 		defer close(l.callersServed)
