Bodies that wait for memory take no turn from answers

Cause: one of all that wait decided in each 20 ms, and each waits 20 ms between two tries, so a body, for which nobody had to give way, could be first each time.

Change: bodies and answers have turns of their own.

Evidence: TestBodiesLeaveAnswersTheirTurns failed with common turns.

--- a/node/bodies/bodies_test.go
+++ b/node/bodies/bodies_test.go
@@ -174,3 +174,36 @@
 	body.Release()
 	assert.False(t, newBudget(60<<20).HoldsMaxBody())
 }
+
+// Guards against the answer of a request that has run, and is lost because a body that waits
+// looks for memory right before it each time, although that body should give way.
+func TestBodiesLeaveAnswersTheirTurns(t *testing.T) {
+	b := newBudget(testLimit)
+	large := newPausing(testLimit, 64<<10, false)
+	done := make(chan error)
+	go func() {
+		_, err := large.read(b, testLimit, testLimit)
+		done <- err
+	}()
+	require.Eventually(t, func() bool { return b.Used() >= testLimit/4*3-maxSegment }, time.Second, time.Millisecond)
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() { // takes all turns of bodies
+		defer close(ended)
+		for {
+			b.mu.Lock()
+			b.nextDecision[bodies.ForBody] = b.now() + pollInterval
+			b.mu.Unlock()
+			select {
+			case <-stop:
+				return
+			case <-time.After(pollInterval / 4):
+			}
+		}
+	}()
+	assert.True(t, b.Reserve(testLimit/2))
+	close(stop)
+	<-ended
+	b.Release(testLimit / 2)
+	large.interrupt()
+	assert.ErrorIs(t, <-done, ErrNoMemory)
+}
--- a/node/bodies/budget.go
+++ b/node/bodies/budget.go
@@ -30,7 +30,7 @@
 	// have just stopped.
 	waitLimit = 2 * time.Second
 	// pollInterval is the interval at which a body that waits looks for others that make no
-	// progress, and the shortest time between two such decisions.
+	// progress, and the shortest time between two such decisions of bodies or of answers.
 	pollInterval = 20 * time.Millisecond
 	logInterval  = 10 * time.Second
 )
@@ -54,7 +54,7 @@
 	mu           sync.Mutex
 	reading      map[*Body]struct{}
 	leaving      int64 // bytes of bodies that gave up and have not been released
-	nextDecision time.Duration
+	nextDecision [2]time.Duration // by bodies.Need: the turns of bodies take none from answers
 	first        *Body // gets memory beyond firstBytes before the others, if it is not nil
 	lastLogged   time.Duration
 	freed        chan struct{} // closed when memory was released; nil if nobody waits
@@ -187,8 +187,8 @@
 			}
 			return ErrNoMemory
 		}
-		if now >= b.nextDecision {
-			b.nextDecision = now + pollInterval
+		if now >= b.nextDecision[need] {
+			b.nextDecision[need] = now + pollInterval
 			if chosen := b.choose(n, need, now, now-began); chosen != nil {
 				b.giveUp(chosen, now)
 				continue
