--- a/node/bodies/budget.go
+++ b/node/bodies/budget.go
@@ -53,9 +53,9 @@
 
 	mu           sync.Mutex
 	reading      map[*Body]struct{}
-	leaving      int64 // bytes of bodies that gave up and have not been released
+	leaving      int64            // bytes of bodies that gave up and have not been released
 	nextDecision [2]time.Duration // by bodies.Need: the turns of bodies take none from answers
-	first        *Body // gets memory beyond firstBytes before the others, if it is not nil
+	first        *Body            // gets memory beyond firstBytes before the others, if it is not nil
 	lastLogged   time.Duration
 	freed        chan struct{} // closed when memory was released; nil if nobody waits
 }
