--- a/core/lending/counts.go
+++ b/core/lending/counts.go
@@ -10,8 +10,8 @@
 	Waiting int // number of requests in all queues now
 	// Targets is the number of usable targets. Cold counts those of them that are
 	// warming up, Leaving those that get no requests because they leave, BackingOff those
-	// that are in backoff because they could not be reached. Slots is the sum over the usable targets, InFlight the number of
-	// requests at all targets.
+	// that are in backoff because they could not be reached. Slots is the sum over the
+	// usable targets, InFlight the number of requests at all targets.
 	Targets, Cold, Leaving, BackingOff int
 	Slots, InFlight                    int
 	// Locality tells how each data centre's requests were served since the last
