--- a/cmd/soak/checker_test.go
+++ b/cmd/soak/checker_test.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// recordNewProcess records that a target has started again: its earlier word does not count.
+// recordNewProcess records that a target has started again: what its earlier process said does not count.
 func (c *checker) recordNewProcess(target string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/cell/leaving_test.go
+++ b/node/cell/leaving_test.go
@@ -63,7 +63,7 @@
 
 // Guards against a VM that uses a slot of a target that it knows to leave, because the VM that
 // lent it does not know: requests for the target's keys are sent for leavingKeysPeriod, others
-// not at all. The word of an earlier process does not count, and one for an unknown does.
+// not at all. The announcement of an earlier process does not count for a later one.
 func TestSlotOfALeavingTargetIsNotUsed(t *testing.T) {
 	vm := startVM(t, "vm-0", &memoryStore{})
 	vm.view.Apply(view.Operators, []view.Change{{Log: view.Operators, Key: "config", Offset: 2, Config: &fleet.Config{
--- a/node/router/leaving.go
+++ b/node/router/leaving.go
@@ -9,23 +9,23 @@
 	"github.com/mangogate/mangogate/node/upstream"
 )
 
-// maxOddTargets bounds leavingWatch.odd.
-const maxOddTargets = 1000
+// maxMalformed bounds leavingWatch.malformed.
+const maxMalformed = 1000
 
-// leavingWatch looks in all answers of targets, to requests of callers and to calls of this
-// VM, for the word that the target leaves.
+// leavingWatch looks for announcements that a target leaves in all answers of targets: to
+// requests of callers and to grants and releases of keys.
 type leavingWatch struct {
 	codec  gateway.HeaderCodec
 	logger hclog.Logger
-	// note is called for each answer with that word. It must be set before the first answer.
+	// note is called for each such answer. It must be set before the first one.
 	note func(target, address string, life int64)
 
-	mu  sync.Mutex
-	odd map[string]bool // targets whose headers could not be read, which were logged
+	mu        sync.Mutex
+	malformed map[string]bool // targets whose malformed headers were logged
 }
 
 func newLeavingWatch(codec gateway.HeaderCodec, logger hclog.Logger) *leavingWatch {
-	return &leavingWatch{codec: codec, logger: logger, odd: map[string]bool{}}
+	return &leavingWatch{codec: codec, logger: logger, malformed: map[string]bool{}}
 }
 
 // handleAnswer is upstream.Client.OnAnswer.
@@ -39,12 +39,12 @@
 	}
 }
 
-// logOnce logs, once for each target, that its headers could not be read.
+// logOnce logs, once for each target, that it sends a malformed header.
 func (w *leavingWatch) logOnce(r upstream.Request, err error) {
 	w.mu.Lock()
-	known := w.odd[r.Target] || len(w.odd) >= maxOddTargets
+	known := w.malformed[r.Target] || len(w.malformed) >= maxMalformed
 	if !known {
-		w.odd[r.Target] = true
+		w.malformed[r.Target] = true
 	}
 	w.mu.Unlock()
 	if !known {
--- a/node/router/leaving_test.go
+++ b/node/router/leaving_test.go
@@ -22,21 +22,23 @@
 	return h.Get("Leaving") == "1", nil
 }
 
-// Guards against the word of a target that is lost or credited to another process, and against
-// a log that a target with odd headers fills.
-func TestWordOfATargetIsPassedOnWithItsProcess(t *testing.T) {
+// Guards against an announcement that is lost or credited to another process, and against a log
+// that a target with malformed headers fills.
+func TestAnnouncementIsPassedOnWithItsProcess(t *testing.T) {
 	var log bytes.Buffer
 	w := newLeavingWatch(leavingCodec{}, hclog.New(&hclog.LoggerOptions{Output: &log}))
-	type word struct {
+	type announcement struct {
 		target, address string
 		life            int64
 	}
-	var words []word
-	w.note = func(target, address string, life int64) { words = append(words, word{target, address, life}) }
+	var announced []announcement
+	w.note = func(target, address string, life int64) {
+		announced = append(announced, announcement{target, address, life})
+	}
 	r := upstream.Request{Target: "a", Address: "a:1", Life: 3}
 	for _, value := range []string{"", "1", "yes", "0", "1"} {
 		w.handleAnswer(r, http.Header{"Leaving": {value}})
 	}
-	assert.Equal(t, []word{{"a", "a:1", 3}, {"a", "a:1", 3}}, words)
+	assert.Equal(t, []announcement{{"a", "a:1", 3}, {"a", "a:1", 3}}, announced)
 	assert.Equal(t, 1, strings.Count(log.String(), "target=a"), "%s", log.String())
 }
--- a/node/view/leaving_test.go
+++ b/node/view/leaving_test.go
@@ -40,7 +40,7 @@
 }
 
 // Guards against a target that is used again after its entry was removed, which may be the only
-// word that it leaves: the store carries out an earlier append of it late. A target whose entry
+// sign that it leaves: the store carries out an earlier append of it late. A target whose entry
 // had lapsed comes back with its next one, and a new process counts anew.
 func TestLateEntryDoesNotBringATargetBack(t *testing.T) {
 	now := time.Second
@@ -65,10 +65,10 @@
 	assert.EqualValues(t, 9, v.End(Targets))
 }
 
-// Guards against what a target says of itself being forgotten: by a later entry, by a view
+// Guards against an announcement that is forgotten: by a later entry, by a view
 // from behind, by the removal of the entry or by a restored store. A new process starts clean,
-// and the word of an earlier process does not count for it.
-func TestWordOfATargetCountsForItsLifetime(t *testing.T) {
+// and the announcement of an earlier process does not count for it.
+func TestAnnouncementCountsForTheLifetimeOfItsProcess(t *testing.T) {
 	now := time.Minute
 	v := newTestView(&now)
 	v.Apply(Targets, []Change{process(0, "a", 1, false), process(1, "b", 1, false)}, 2, 0)
@@ -100,7 +100,7 @@
 
 	v.Apply(Targets, []Change{process(PositionOf(2, 2), "a", 2, false)}, PositionOf(2, 3), 0)
 	assert.Empty(t, announced(v), "a new process starts clean")
-	assert.False(t, v.NoteLeaving(Announcement{Target: "a", Life: 1}) && len(announced(v)) > 0, "the word of the earlier process")
+	assert.False(t, v.NoteLeaving(Announcement{Target: "a", Life: 1}) && len(announced(v)) > 0, "the announcement of the earlier process")
 	_, leaves := v.LeavingSince("a", 2)
 	assert.False(t, leaves)
 	assert.True(t, v.NoteLeaving(Announcement{Target: "a", Life: 2}))
