node/cell tests: no address is chosen twice

Cause: a VM's port is chosen by a listener that is closed before the VM listens.

Change: a process of the tests hands each address out once. What tests check is the same.

That the clash is gone is not shown by a run; it is too rare.

--- a/node/cell/cell_test.go
+++ b/node/cell/cell_test.go
@@ -136,6 +136,23 @@
 	return net.IPv4(127, byte(1+pid>>16), byte(pid>>8), byte(pid)|1).String()
 }
 
+// usedAddresses holds the addresses that unusedAddress has returned.
+var usedAddresses sync.Map
+
+// unusedAddress returns an address on which nobody listens. It returns each only once: tests run
+// in parallel, and one could choose the port of another between its choice and its use.
+func unusedAddress(t *testing.T) string {
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
+		require.NoError(t, err)
+		address := l.Addr().String()
+		l.Close()
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
+	}
+}
+
 // startVM starts a VM that is registered in the store and stops when the test ends.
 func startVM(t *testing.T, id string, store view.Store) *testVM {
 	return startProcess(t, id, "boot-"+id, store)
@@ -143,10 +160,7 @@
 
 // startProcess starts a process of a VM; see startVM.
 func startProcess(t *testing.T, id, boot string, store view.Store) *testVM {
-	free, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
-	require.NoError(t, err)
-	address := free.Addr().String()
-	free.Close()
+	address := unusedAddress(t)
 	c, registry, logger := clock.New(), metrics.NewRegistry(), hclog.NewNullLogger()
 	v := view.New(c.Now, logger)
 	v.Apply(view.Operators, []view.Change{{Log: view.Operators, Key: "config", Config: &fleet.Config{
@@ -154,7 +168,7 @@
 	}}}, 1, c.Now())
 	v.Apply(view.Targets, []view.Change{{Log: view.Targets, Key: "t", Target: &fleet.Target{ID: "t", Service: "s", Address: "127.0.0.1:1", DataCentre: "z", Slots: 3}}}, 1, c.Now())
 	self := fleet.VM{ID: id, PeerAddress: address, Boot: boot, Cores: 1, Registration: registrations(t, store, id) + 1}
-	_, err = store.Append(context.Background(), view.Change{Key: view.VMKey(id), VM: &self}, view.AnyOffset)
+	_, err := store.Append(context.Background(), view.Change{Key: view.VMKey(id), VM: &self}, view.AnyOffset)
 	require.NoError(t, err)
 	server := peer.NewServer(address, nil, nil, logger, registry)
 	client := peer.NewClient(nil, nil, registry)
--- a/node/cell/silence_test.go
+++ b/node/cell/silence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,10 +51,7 @@
 
 // startPausingLeader starts a VM that leads the cell by the store's record.
 func startPausingLeader(t *testing.T, store *memoryStore) *pausingLeader {
-	free, err := net.Listen("tcp", net.JoinHostPort(processLoopback(), "0"))
-	require.NoError(t, err)
-	address := free.Addr().String()
-	free.Close()
+	address := unusedAddress(t)
 	server := peer.NewServer(address, nil, nil, hclog.NewNullLogger(), metrics.NewRegistry())
 	leader := &pausingLeader{returned: make(chan lending.Usage, 100)}
 	require.NoError(t, server.Register(RPCName, leader))
