--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -14,7 +14,8 @@
 
 // cases maps the name of a case to what it does. It returns how often the rule was broken.
 var cases = map[string]func(r *rig, trouble bool) (broken int, err error){
-	"noproof": answersWithoutProof,
+	"noproof":   answersWithoutProof,
+	"lategrant": grantsTakenForAnswered,
 }
 
 func main() {
--- a/review/standins-3/upstream.go
+++ b/review/standins-3/upstream.go
@@ -99,6 +99,10 @@
 // publish writes the entry of the upstream, which is also its ping.
 func (u *upstream) publish() {
 	u.mu.Lock()
+	if u.state == "" {
+		u.mu.Unlock()
+		return
+	}
 	u.sequence++
 	entry := map[string]any{"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": slots,
 		"state": u.state, "warmupLeftS": 0, "sequence": u.sequence, "born": u.born}
@@ -106,6 +110,14 @@
 	u.r.store.put("keyed.servers", u.id, entry)
 }
 
+// leave removes the entry of the upstream, which sends no further ping.
+func (u *upstream) leave() {
+	u.mu.Lock()
+	u.state = ""
+	u.mu.Unlock()
+	u.r.store.put("keyed.servers", u.id, nil)
+}
+
 // drain reports that the upstream is about to leave.
 func (u *upstream) drain() {
 	u.mu.Lock()
@@ -140,7 +152,7 @@
 			}
 			if req.URL.Path == "/release" {
 				u.release(c, g)
-			} else if u.onGrant == nil || !u.onGrant(u, c, g, arrived) {
+			} else if hook := u.grantHook(); hook == nil || !hook(u, c, g, arrived) {
 				io.WriteString(c, u.grant(g, arrived))
 			}
 		case "/health":
@@ -153,6 +165,12 @@
 	}
 }
 
+func (u *upstream) grantHook() func(*upstream, net.Conn, grantCall, time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.onGrant
+}
+
 // grant applies a grant and returns the answer. Its time counts from its arrival. The
 // clock of the upstream is exact.
 func (u *upstream) grant(g grantCall, arrived time.Time) string {
