review: drop the case that review/4 already shows

Change: removes that case; the answers without a proof are review/12 again, with a smaller stand-in.

--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -107,18 +107,13 @@
 	return r, nil
 }
 
-// routeTimeoutS is the timeoutS of all routes. Grants last at least as long.
-var routeTimeoutS = 1.2
-
-// configure writes the first config: a safe and an unsafe route for each service.
-func (r *rig) configure(services map[string]bool) {
-	var routes, list []any
-	for name, sharded := range services {
-		list = append(list, map[string]any{"name": name, "healthPath": "/health", "maxConnections": 110, "warmupS": 3, "warmupPerS": 11, "sharded": sharded})
-		for _, kind := range []string{"safe", "unsafe"} {
-			routes = append(routes, map[string]any{"name": name + "-" + kind, "host": "review.example", "pathPrefix": "/" + name + "/" + kind + "/", "routeType": kind,
-				"timeoutS": routeTimeoutS, "targetLatencyS": 0.4, "priority": 1, "attempts": 2, "service": name})
-		}
+// configure writes the first config: a safe and an unsafe route to one service.
+func (r *rig) configure(service string) {
+	var routes []any
+	list := []any{map[string]any{"name": service, "healthPath": "/health", "maxConnections": 110, "warmupS": 3, "warmupPerS": 11, "sharded": false}}
+	for _, kind := range []string{"safe", "unsafe"} {
+		routes = append(routes, map[string]any{"name": service + "-" + kind, "host": "review.example", "pathPrefix": "/" + service + "/" + kind + "/", "routeType": kind,
+			"timeoutS": 1.2, "targetLatencyS": 0.4, "priority": 1, "attempts": 2, "service": service})
 	}
 	r.store.put("keyed.op", "config", map[string]any{"version": 3, "routes": routes, "services": list,
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15}})
--- a/review/standins-3/noproof.go
+++ b/review/standins-3/noproof.go
@@ -17,10 +17,10 @@
 // answersWithoutProof lets one of four upstreams of a service spoil a byte in the line with
 // the proof of few of its answers, in three spans.
 func answersWithoutProof(r *rig, trouble bool) (broken int, err error) {
-	r.configure(map[string]bool{"desk": false})
+	r.configure("desk")
 	var faulty atomic.Bool
 	for i := range 4 {
-		u, err := r.addUpstream(fmt.Sprintf("i-desk%d", i), "desk", zones[i%3], false, 20*time.Millisecond)
+		u, err := r.addUpstream(fmt.Sprintf("i-desk%d", i), "desk", zones[i%3], 20*time.Millisecond)
 		if err != nil {
 			return 0, err
 		}
@@ -42,11 +42,11 @@
 		}()
 	}
 	served := 0
-	r.traffic(noproofSeconds*time.Second, 9, 40*time.Millisecond, func(n int) (string, string, int, string) {
+	r.traffic(noproofSeconds*time.Second, 9, 40*time.Millisecond, func(n int) (string, string, string) {
 		if n%2 == 0 {
-			return "GET", fmt.Sprintf("/desk/safe/%d", n), -1, ""
+			return "GET", fmt.Sprintf("/desk/safe/%d", n), ""
 		}
-		return "POST", fmt.Sprintf("/desk/unsafe/%d", n), -1, "a booking"
+		return "POST", fmt.Sprintf("/desk/unsafe/%d", n), "a booking"
 	}, func(a reply) {
 		if a.status < 200 || a.status > 299 {
 			return
--- a/review/standins-3/requesters.go
+++ b/review/standins-3/requesters.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,7 +23,7 @@
 var lastID atomic.Int64
 
 // send sends one request to a VM and reads the whole answer.
-func (r *rig) send(c *http.Client, v *vm, method, path string, key int, body string) reply {
+func (r *rig) send(c *http.Client, v *vm, method, path, body string) reply {
 	out := reply{id: fmt.Sprintf("%04x%012x", rand.Intn(1<<16), lastID.Add(1)), path: path}
 	req, err := http.NewRequest(method, "http://"+v.front+path, strings.NewReader(body))
 	if err != nil {
@@ -34,10 +33,7 @@
 	req.Host = "review.example"
 	req.Header.Set("Attempt-Id", out.id)
 	req.Header.Set("Request-Deadline", "1500")
-	if key >= 0 {
-		req.Header.Set("Shard-Key", strconv.Itoa(key))
-	}
-	r.record.note("request %s %s %s is sent to %s, key %d", out.id, method, path, v.name, key)
+	r.record.note("request %s %s %s is sent to %s", out.id, method, path, v.name)
 	resp, err := c.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -57,7 +53,7 @@
 
 // traffic lets requesters send requests for a time, each over a kept connection, and passes
 // each answer to check, one at a time.
-func (r *rig) traffic(span time.Duration, requesters int, pause time.Duration, path func(n int) (method, path string, key int, body string), check func(reply)) {
+func (r *rig) traffic(span time.Duration, requesters int, pause time.Duration, path func(n int) (method, path, body string), check func(reply)) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	end := time.Now().Add(span)
@@ -68,8 +64,8 @@
 			c := &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableCompression: true}}
 			defer c.CloseIdleConnections()
 			for n := i; time.Now().Before(end); n += requesters {
-				method, p, key, body := path(n)
-				answer := r.send(c, r.vms[i%len(r.vms)], method, p, key, body)
+				method, p, body := path(n)
+				answer := r.send(c, r.vms[i%len(r.vms)], method, p, body)
 				mu.Lock()
 				check(answer)
 				mu.Unlock()
